Spread calls to discovery over the turns of all gateways that may call

Ruled out: lists that are not read, lost watches (silence came up nowhere), the loop's lateness.

At fault: the pause between calls, 0.1 to 2 s whoever else calls. Forty callers so ask some 25 times a second, more than one service answers, and those that wait in vain use it up.

Now a pause falls anywhere into a span in which each of the settings' gateways may have had a call, and into twice that after a further failure.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from random import Random
 
 import orjson
 import pytest
@@ -159,3 +160,27 @@
 def test_an_id_has_the_same_number_everywhere() -> None:
     assert number("s-5be2a07c") == 9587356208999800076
     assert number("s-5be2a07c") != number("s-5be2a07d")
+
+
+@pytest.mark.parametrize("callers", [3, 40, 400])
+def test_callers_that_all_fail_call_no_more_often_than_one_service_can_answer(callers: int) -> None:
+    """Forty gateways, each calling every second or two, were all turned away for the rest of the day."""
+    calls, end = 0, 600.0
+    for seed in range(callers):
+        watch = Discovery(("127.0.0.1", 1), 0, lambda _: None, callers)
+        watch._random = Random(seed)
+        now = watch._next_pause()
+        while now < end:
+            calls += 1
+            now += watch._next_pause()
+    assert calls * discovery.CALL_TIME < end
+
+
+def test_callers_that_lost_their_watch_together_come_back_one_by_one() -> None:
+    backs = []
+    for seed in range(40):
+        watch = Discovery(("127.0.0.1", 1), 0, lambda _: None, 40)
+        watch._random = Random(seed)
+        backs.append(watch._next_pause())
+    assert max(sum(begin <= back < begin + 1 for back in backs) for begin in range(8)) <= 10
+    assert max(backs) <= 40 * discovery.CALL_TIME
--- a/whinrouter/__main__.py
+++ b/whinrouter/__main__.py
@@ -36,7 +36,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    discovery = Discovery(config.discovery, config.known.revision, gateway.list_hosts)
+    callers = config.settings.balancers
+    discovery = Discovery(config.discovery, config.known.revision, gateway.list_hosts, callers)
     loop.add_signal_handler(signal.SIGHUP, _Reload(config, discovery))
     try:
         port = await frontend.listen(*config.listen)
--- a/whinrouter/net/discovery.py
+++ b/whinrouter/net/discovery.py
@@ -19,7 +19,10 @@
 
 SILENCE = 5.0  # seconds; while nothing changes an empty line comes every 2 s, so two were missed
 CONNECT_TIME = 1.0
-FIRST_PAUSE, LONGEST_PAUSE = 0.1, 2.0
+# Seconds of the service that a call may take. One service answers all gateways, call after call, and those
+# that wait too long in vain: called more often than it can answer, it answers nobody.
+CALL_TIME = 0.2
+LONGEST_PAUSE = 2.0  # seconds between calls, unless all gateways need longer for two calls each
 MAX_LINE = 4 * 1024 * 1024
 
 _STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
@@ -132,12 +135,15 @@
 class Discovery:
     """Keeps a watch going, from the last version that came; the old list stays in force meanwhile."""
 
-    def __init__(self, address: tuple[str, int], revision: int, take: Callable[[HostList], None]) -> None:
+    def __init__(
+        self, address: tuple[str, int], revision: int, take: Callable[[HostList], None], callers: int = 1
+    ) -> None:
         self._address = address
         self._revision = revision
         self._take = take
+        self._turn = callers * CALL_TIME
         self._random = Random()
-        self._pause = FIRST_PAUSE
+        self._pause = self._turn
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -150,7 +156,7 @@
     def move(self, address: tuple[str, int]) -> None:
         """Watch another service, from its whole list on: a revision means nothing to any other service."""
         self.stop()
-        self._address, self._revision, self._pause = address, 0, FIRST_PAUSE
+        self._address, self._revision, self._pause = address, 0, self._turn
         self.start()
 
     async def _run(self) -> None:
@@ -159,9 +165,13 @@
                 log.info("discovery: %s; asking again", await self._watch())
             except Exception:  # without a watch, hosts that drain would go unnoticed for good
                 log.exception("discovery: failed; asking again")
-            # Jittered, so that gateways which lost discovery together do not all come back at once.
-            await asyncio.sleep(self._pause * self._random.uniform(0.5, 1))
-            self._pause = min(2 * self._pause, LONGEST_PAUSE)
+            await asyncio.sleep(self._next_pause())
+
+    def _next_pause(self) -> float:
+        """Seconds until the next call: any time in which all callers have a turn, as all may want one."""
+        pause = self._pause * self._random.uniform(0.1, 1)
+        self._pause = min(2 * self._pause, max(2 * self._turn, LONGEST_PAUSE))
+        return pause
 
     async def _watch(self) -> str:
         """Follow one watch to its end; return why it ended."""
@@ -185,4 +195,4 @@
         told = read_list(orjson.loads(line))
         self._take(told)
         self._revision = told.revision
-        self._pause = FIRST_PAUSE
+        self._pause = self._turn
