Keep work in its zone as far as the zone has its part of the fleet's capacity

The answer's median was 40 to 50 ms where the hosts here take 20.

At fault: Balancer._candidates ranked the hosts of the subset by the request's key first, whichever their zone, and only requests without a key ever preferred their own. At three gateways with a dozen hosts that mattered little; here it also gave all gateways of a subset the same two hosts for a key.

Subsetting is now a part of its own, subset.py, in the policy. A gateway means its work for its own zone up to an equal part of the fleet's capacity, by warmth, and the rest for zones that have more; the key's ranking is drawn by these weights. A cold host's share follows its weight.

--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -6,8 +6,9 @@
 
 import pytest
 
-from whinrouter.balance import COLD_PART, FAN_IN
+from whinrouter.balance import COLD_PART
 from whinrouter.interface import MS, SECOND, Server, Settings
+from whinrouter.subset import FAN_IN
 
 from .helpers import CLASSES, Driver, servers
 
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -4,8 +4,8 @@
 
 from collections import Counter
 
-from whinrouter.balance import FAN_IN
 from whinrouter.interface import MS, SECOND, Settings
+from whinrouter.subset import FAN_IN
 
 from .helpers import CLASSES, Driver
 
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Iterator
-from hashlib import blake2b
 from random import Random
 
 from whinrouter.breaker import Breaker
@@ -18,13 +16,11 @@
     RequestClass, RequestGone, RequestId, Scope, Send, Server, ServerId, ServerList, SetTimer, Settings,
     State, StreamStarted, Subscribe, TimerFired, Update,
 )  # fmt: skip
+from whinrouter.subset import by_key, subset, weigh
 
 OPEN_SHARE = 0.5  # no closed breaker counts a failure while this share of them is open
 CLASS_OPEN_SHARE = 0.75  # likewise of the breakers for a class; the servers still serve the others
 
-FAN_IN = 20  # balancers that share a server, where there are more
-LEAST_SUBSET = 4  # servers that a balancer keeps to at least
-
 TARGET = 0.5  # share of the aim within which answers come in while a server has room
 SHED_TIME = SECOND // 2  # late answers for this long leave about a third of the share that is admitted
 SIGN = SECOND // 4  # an answer speaks for the time since the one before it, but for no longer than this
@@ -46,10 +42,6 @@
 CLASS_FAILURES = {Outcome.ERROR, Outcome.REJECTED, Outcome.UNKNOWN}
 
 
-def _rank(key: str, server: ServerId) -> bytes:
-    return blake2b(f"{key} {server}".encode(), digest_size=8).digest()
-
-
 class Balancer:
     def __init__(self, settings: Settings, seed: int) -> None:
         self._settings = settings
@@ -60,9 +52,9 @@
         self._served: dict[str, float] = {}  # work done by its warm servers of each kind, averaged
         self._counted = 0
         self._spare = self._most_spare = max(1.0, EXTRA_BURST / settings.balancers)  # extra attempts
-        self._warm: Counter[str] = Counter()  # warm servers of its subset, by kind
-        self._full: dict[str, float] = {}  # work that each did lately; kept once none is left
-        self._summed = -SUM_EVERY
+        self._warm: dict[str, float] = {}  # what is meant for the warm servers of its subset, by kind
+        self._full: dict[str, float] = {}  # work that they did lately for that; kept once none is left
+        self._summed: int | None = None  # when their warmth was last looked at; None if all are warm
         self._seen: dict[tuple[str, bool], int] = {}  # requests by class, and by whether beyond a share
         self._asked: dict[tuple[str, bool], float] = {}  # work asked for, likewise
         self._credit = {tenant: (allowance * SAVED, 0) for tenant, allowance in settings.allowances.items()}
@@ -102,24 +94,21 @@
                 self._hosts[server] = Host(info, self._random, Breaker(self._random), now)
             else:
                 known.info = info
-        self._summed = now - SUM_EVERY
-        self._order, self._spill = self._subset()
+        self._settle_shares(now)
         return [Subscribe()] if asks and event.update is Update.STALE else []
 
-    def _subset(self) -> tuple[list[Host], list[Host]]:
-        """This balancer's servers, and the others in the order in which they stand in.
-
-        Hundreds of balancers with a connection each fill every server's table, and the rest cannot connect.
-        Balancers in turn cut the same shuffled ring into equal slices, so each server serves as many of them.
-        """
-        count, known = self._settings.balancers, len(self._hosts)
-        slices = max(1, min(count // FAN_IN, known // LEAST_SUBSET))
-        turn, place = divmod(self._settings.rank, slices)
-        ring = sorted(self._hosts.values(), key=lambda host: _rank(str(turn), host.info.id))
-        first, end = place * known // slices, (place + 1) * known // slices
-        for place, host in enumerate(ring):
-            host.own = first <= place < end
-        return ring[first:end], ring[end:] + ring[:first]
+    def _settle_shares(self, now: int) -> None:
+        """What is meant for each server follows the list and, while some are cold, their warmth."""
+        hosts = self._hosts.values()
+        warmth = {host: self._warmth(host, now) for host in hosts}
+        weigh(warmth, self._settings)
+        self._order, self._spill = subset(hosts, self._settings)
+        self._warm = {}
+        for host in self._order:
+            if warmth[host] == 1:
+                kind = host.info.kind
+                self._warm[kind] = self._warm.get(kind, 0.0) + host.weight
+        self._summed = now if min(warmth.values(), default=1) < 1 else None
 
     def _warmth(self, host: Host, now: int) -> float:
         """The least share of its capacity that a server has by now."""
@@ -144,15 +133,12 @@
         balancer's shares follow its own traffic, which its subset bears alone: divided by all servers, a
         share would shrink with the number of subsets.
         """
-        if now >= self._summed + SUM_EVERY:
-            self._warm = Counter(o.info.kind for o in self._order if self._warmth(o, now) == 1)
-            self._summed = now
         kind = host.info.kind
-        if self._warm[kind]:
+        if kind in self._warm:
             self._full[kind] = self._served.get(kind, 0.0) / RATE_WINDOW / self._warm[kind]
         # A trickle even where nothing is known yet; split, as that of many balancers alone pushed one over.
         trickle = cost / RATE_WINDOW / self._settings.balancers
-        share = self._warmth(host, now) * self._settings.fall_multiple * COLD_PART
+        share = host.weight * self._warmth(host, now) * self._settings.fall_multiple * COLD_PART
         rate = max(self._full.get(kind, 0.0) * share if host.own else 0.0, trickle)
         host.allowance = min(host.allowance + rate * (now - host.refilled), max(rate * COLD_BURST, cost))
         host.refilled = now
@@ -162,6 +148,8 @@
         if kind is None:  # a class never announced may hold anything: it must not run twice
             kind = RequestClass("", event.timeout or 1, event.timeout or 1, Effect.AT_MOST_ONCE)
             self._classes[kind.name] = kind  # one for all of them: names are at a peer's will
+        if self._summed is not None and now >= self._summed + SUM_EVERY:
+            self._settle_shares(now)
         pending = Pending(event, kind, now, now + event.timeout)
         self._pending[event.id] = pending
         self._spare = min(self._most_spare, self._spare + EXTRA_SHARE)
@@ -262,7 +250,7 @@
     def _candidates(self, key: str | None) -> Iterator[Host]:
         """The servers in random order; where they warm to keys, as the hash of the key ranks them."""
         if key is not None and self._settings.warm_keys:
-            yield from sorted(self._order, key=lambda host: _rank(key, host.info.id))
+            yield from by_key(key, self._order)
         if self._settings.cross_zone_price > 0:  # stay while servers here have room to spare
             here = [host for host in self._order if host.info.zone == self._settings.zone]
             near = [host for host in here if 2 * host.in_flight < host.limit]
--- a/whinrouter/host.py
+++ b/whinrouter/host.py
@@ -23,6 +23,7 @@
     allowance: float = 0.0  # work that may be sent while cold
     in_flight: int = 0
     own: bool = True  # in the subset that the balancer keeps to
+    weight: float = 1.0  # part of the balancer's work that is meant for it, for each unit of warmth
     limit: float = FIRST_LIMIT  # in flight at most; grows with answers in time, shrinks with late ones
     cut: int = 0  # when the limit was last cut
     pace: float = 1.0  # how long its answers take, as a multiple of the usual time
--- /dev/null
+++ b/whinrouter/subset.py
@@ -0,0 +1,70 @@
+"""Which servers a balancer keeps to, and what part of its work each is meant to get; no clock and no I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Mapping
+from hashlib import blake2b
+from math import log
+
+from whinrouter.host import Host
+from whinrouter.interface import ServerId, Settings
+
+FAN_IN = 20  # balancers that share a server, where there are more
+LEAST_SUBSET = 4  # servers that a balancer keeps to at least
+
+_HIGHEST = 2**64
+
+
+def rank(key: str, server: ServerId) -> int:
+    """A number that is random, but the same everywhere for this key and server."""
+    return int.from_bytes(blake2b(f"{key} {server}".encode(), digest_size=8).digest(), "big")
+
+
+def by_key(key: str, hosts: Iterable[Host]) -> list[Host]:
+    """Servers in the order in which they serve a key; over all keys, each stands first as its weight says."""
+    return sorted(hosts, key=lambda host: -log((rank(key, host.info.id) + 1) / _HIGHEST) / host.weight)
+
+
+def weigh(warmth: Mapping[Host, float], settings: Settings) -> None:
+    """Set for each server the part of this balancer's work that is meant for it, for each unit of its warmth.
+
+    Where crossing zones has its price, work stays in its zone as far as the zone has its part of the fleet's
+    capacity; the rest goes where there is more than that. All zones are taken to ask for the same.
+    """
+    capacity: dict[str, float] = {}
+    for host, part in warmth.items():
+        capacity[host.info.zone] = capacity.get(host.info.zone, 0.0) + part
+    total, here = sum(capacity.values()), settings.zone
+    if settings.cross_zone_price <= 0 or here not in capacity:
+        meant = capacity
+    else:
+        equal = total / len(capacity)
+        spare = {zone: max(0.0, held - equal) for zone, held in capacity.items() if zone != here}
+        away = max(0.0, equal - capacity[here]) / equal * total
+        meant = {zone: away * more / (sum(spare.values()) or 1) for zone, more in spare.items()}
+        meant[here] = total - away
+    for host in warmth:
+        host.weight = meant[host.info.zone] / capacity[host.info.zone] / total
+
+
+def subset(hosts: Collection[Host], settings: Settings) -> tuple[list[Host], list[Host]]:
+    """A balancer's servers, and the others in the order in which they stand in.
+
+    Hundreds of balancers with a connection each fill every server's table, and the rest cannot connect.
+    Balancers in turn cut the same shuffled ring into equal slices, so each server serves as many of them.
+    """
+    meant = [host for host in hosts if host.weight > 0]
+    # Where work stays in its zone, the zones' balancers have their zone's servers to themselves.
+    apart = len({host.info.zone for host in hosts}) if len(meant) < len(hosts) else 1
+    count, known = settings.balancers // apart, len(meant)
+    slices = max(1, min(count // FAN_IN, known // LEAST_SUBSET))
+    turn, place = divmod(settings.rank, slices)
+    ring = sorted(meant, key=lambda host: rank(str(turn), host.info.id))
+    first, end = place * known // slices, (place + 1) * known // slices
+    others = [host for host in hosts if host.weight <= 0]
+    others.sort(key=lambda host: rank(str(turn), host.info.id))
+    for number, host in enumerate(ring):
+        host.own = first <= number < end
+    for host in others:
+        host.own = False
+    return ring[first:end], ring[end:] + ring[:first] + others
