--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -107,3 +107,33 @@
     lost = {name: sum(driver.answers[r] == ["refused"] for r in asked[name][100:]) for name in asked}
     assert lost["greedy"] > 10
     assert lost["modest"] < lost["greedy"] / 2
+
+
+def test_it_never_turns_all_away_for_good() -> None:
+    """Some balancers that had lost their zone's servers refused all for the rest of the day, at no load."""
+    driver = Driver(Settings(CLASSES, may_cancel=True), 12, classes=CLASSES)
+    for _ in range(300):
+        driver.ask(CHEAP)
+        driver.now += 20 * MS
+        while driver.out():
+            driver.end(driver.out()[0], Outcome.REJECTED)
+    assert driver.balancer._share < 0.01
+    driver.now += SECOND
+    for _ in range(100):
+        driver.ask(CHEAP)
+        driver.now += 20 * MS
+        for sent in driver.out():
+            driver.end(sent)
+    assert not refused(driver, CHEAP, 20)
+
+
+def test_servers_that_fail_are_no_overload() -> None:
+    """With no server of a zone left to connect to, the others had room for what was turned away."""
+    driver = Driver(Settings(CLASSES), 12, classes=CLASSES)
+    for _ in range(60):
+        driver.ask(CHEAP)
+        driver.now += 20 * MS
+        while driver.out():
+            driver.end(driver.out()[0], Outcome.CONNECT_FAILED)
+        driver.now += 500 * MS
+    assert driver.balancer._share == 1
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -59,6 +59,7 @@
         self._asked: dict[tuple[str, bool], float] = {}  # work asked for, likewise
         self._credit = {tenant: (allowance * SAVED, 0) for tenant, allowance in settings.allowances.items()}
         self._share, self._signed = 1.0, 0  # share of the work that is admitted; when an answer last moved it
+        self._let_in = 0  # when a request was last admitted
         self._order: list[Host] = []  # for drawing at random
         self._spill: list[Host] = []  # those outside its subset, in the order in which they stand in
         self._patience: dict[str, int] = {}  # the longest time a client has left to its first try, by class
@@ -156,10 +157,17 @@
         part = kind.name, self._beyond(event, now)
         self._seen[part] = self._seen.get(part, 0) + 1
         self._asked[part] = self._asked.get(part, 0.0) + self._cost(pending)
-        if self._too_late(event, kind) or (self._share < 1 and self._random.random() >= self._admitted(part)):
+        if self._too_late(event, kind) or self._sheds(part, now):
             return self._answer(pending)
         return self._advance(pending, now)
 
+    def _sheds(self, part: tuple[str, bool], now: int) -> bool:
+        """Whether to turn a request away under overload; never all, as only answers tell that it is over."""
+        if self._share < 1 and now < self._let_in + SIGN and self._random.random() >= self._admitted(part):
+            return True
+        self._let_in = now
+        return False
+
     def _too_late(self, event: Request, kind: RequestClass) -> bool:
         """Whether a client's retry comes after the aim; under overload it keeps what is in time waiting."""
         if not event.retry:
@@ -206,7 +214,9 @@
         actions = self._attempt(pending, now) or []
         if actions or pending.out:
             return actions
-        self._sign(False, now)
+        # Attempts that failed tell of their servers; that none had room, or was full, tells of load.
+        if all(attempt.outcome is Outcome.REJECTED for attempt in pending.attempts):
+            self._sign(False, now)
         return self._answer(pending)
 
     def _attempt(self, pending: Pending, now: int) -> list[Action]:
--- a/whinrouter/subset.py
+++ b/whinrouter/subset.py
@@ -29,7 +29,8 @@
     """Set for each server the part of this balancer's work that is meant for it, for each unit of its warmth.
 
     Where crossing zones has its price, work stays in its zone as far as the zone has its part of the fleet's
-    capacity; the rest goes where there is more than that. All zones are taken to ask for the same.
+    capacity; the rest goes where there is more than that. All zones are taken to ask for the same. With few
+    balancers that is rough, as one zone may have one more of them: so much of the work goes wherever it can.
     """
     capacity: dict[str, float] = {}
     for host, part in warmth.items():
@@ -43,6 +44,8 @@
         away = max(0.0, equal - capacity[here]) / equal * total
         meant = {zone: away * more / (sum(spare.values()) or 1) for zone, more in spare.items()}
         meant[here] = total - away
+        rough = 1 / settings.balancers
+        meant = {zone: rough * held + (1 - rough) * meant[zone] for zone, held in capacity.items()}
     for host in warmth:
         host.weight = meant[host.info.zone] / capacity[host.info.zone] / total
 
