Tell clients that are refused when to come back

Refusals carried no Retry-After though the settings allow it and bound it (permissions.retryAfter and maxRetryAfter). Now the module says it: a jittered quarter of the class's aim, so that an answer may still be in time and those refused together are not back together, within the settings' maximum.

--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from whinrouter.interface import MS, SECOND, Effect, Outcome, RequestClass, Settings
+from whinrouter.interface import MS, SECOND, Effect, Outcome, Refuse, Request, RequestClass, Settings
 
 from .helpers import Driver
 
@@ -137,3 +137,28 @@
             driver.end(driver.out()[0], Outcome.CONNECT_FAILED)
         driver.now += 500 * MS
     assert driver.balancer._share == 1
+
+
+def told_to_wait(longest: int, honoured: bool = True) -> list[int]:
+    settings = Settings(CLASSES, retry_after=honoured, max_retry_after=longest)
+    return [refusal(settings, seed).retry_after for seed in range(20)]
+
+
+def test_who_is_refused_is_told_when_to_come_back() -> None:
+    waits = told_to_wait(longest=600 * MS)
+    assert len(set(waits)) > 10  # not all at the same time
+    assert 0 < min(waits) < max(waits) < CHEAP.aim
+    assert 0 < min(told_to_wait(longest=20 * MS)) <= max(told_to_wait(longest=20 * MS)) <= 20 * MS
+
+
+def test_nobody_is_told_where_clients_do_not_take_it() -> None:
+    assert set(told_to_wait(longest=600 * MS, honoured=False)) == {0}
+
+
+def refusal(settings: Settings, seed: int) -> Refuse:
+    driver = Driver(settings, 0, seed, classes=CLASSES)
+    driver.ask(CHEAP)
+    request = Request(len(driver.answers) + 1, CHEAP.name, 400 * MS)
+    [answer] = driver.balancer.handle(request, driver.now)
+    assert isinstance(answer, Refuse)
+    return answer
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -24,6 +24,7 @@
 TARGET = 0.5  # share of the aim within which answers come in while a server has room
 SHED_TIME = SECOND // 2  # late answers for this long leave about a third of the share that is admitted
 SIGN = SECOND // 4  # an answer speaks for the time since the one before it, but for no longer than this
+COME_BACK = 0.25  # share of the aim after which one who was turned away may ask again
 SAVED = 5  # seconds of its share that a tenant may save up
 
 LATE = 2.5  # an attempt out this many times as long as its like usually take is late
@@ -229,8 +230,19 @@
         return self._send(pending, host, now) if host else []
 
     def _answer(self, pending: Pending) -> list[Action]:
-        answer = Refuse if self._may_refuse(pending) else Fail
-        return [answer(pending.request.id), *self._settle(pending)]
+        request = pending.request.id
+        answer = (
+            Refuse(request, self._stay_away(pending.kind)) if self._may_refuse(pending) else Fail(request)
+        )
+        return [answer, *self._settle(pending)]
+
+    def _stay_away(self, kind: RequestClass) -> int:
+        """How long a client should wait before it asks again, where it can be told.
+
+        Soon enough for an answer in time, but jittered: who is refused together should not be back together.
+        """
+        wait = round(kind.aim * COME_BACK * self._random.uniform(0.5, 1.5))
+        return min(wait, self._settings.max_retry_after) if self._settings.retry_after else 0
 
     def _send(self, pending: Pending, host: Host, now: int) -> list[Action]:
         token = f"{pending.request.id}:{len(pending.attempts)}"
--- a/whinrouter/interface.py
+++ b/whinrouter/interface.py
@@ -107,6 +107,7 @@
     may_cancel: bool = False
     may_probe: bool = False
     retry_after: bool = False  # clients are told how long to stay away
+    max_retry_after: int = 0  # and for how long at most
     must_subscribe: bool = False  # discovery sends changes only when asked to
     load_in_answers: bool = False
     load_in_probes: bool = False
@@ -133,6 +134,8 @@
         for key in ("fall_multiple", "fall_time"):
             if getattr(self, key) <= 0:
                 raise ValueError(f"{key} must be above 0")
+        if self.max_retry_after < 0:
+            raise ValueError("max_retry_after must not be below 0")
         if self.ramp_time < 0:
             raise ValueError("ramp_time must not be below 0")
 
--- a/whinrouter/wire.py
+++ b/whinrouter/wire.py
@@ -73,6 +73,7 @@
         may_cancel=bool(allowed.get("cancelling")),
         may_probe=bool(allowed.get("probes")),
         retry_after=bool(allowed.get("retryAfter")),
+        max_retry_after=int(allowed.get("maxRetryAfter") or 0),
         must_subscribe=setup.get("registryMode") == "subscribe",
         load_in_answers=reports.get("how") == "piggyback",
         load_in_probes=reports.get("how") in ("piggyback", "pull"),
