Count a host's recent failures as requests in flight when two are compared

At fault: nothing short of an open breaker kept a gateway off such a host. Its breaker forgets its failures with each success, that of a class takes one back for two, and with a request a second to each host a gateway meets ten errors before it opens: fine with three gateways, late with forty.

Now a failure counts as one more request in flight, less and less over ten seconds, so of two hosts the other is tried first.

--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from whinrouter.interface import MS, SECOND, Settings
+from whinrouter.interface import MS, SECOND, Outcome, Settings
 from whinrouter.subset import FAN_IN
 
 from .helpers import CLASSES, Driver
@@ -53,3 +53,36 @@
         driver.end(sent)
         driver.now += SECOND
     assert 15 < used.count(1) < 45
+
+
+def test_of_two_servers_the_one_that_failed_lately_is_tried_second() -> None:
+    """A server that fails every other request keeps its breakers closed: each success takes failures back."""
+    driver = Driver(Settings(CLASSES), 2, seed=3)
+    firsts, served = [], 0
+    for _ in range(60):
+        request = driver.ask()
+        firsts.append(driver.out(request)[0].server)
+        while driver.out(request):
+            sent = driver.out(request)[0]
+            driver.now += 10 * MS
+            fails = sent.server == 1 and served % 2 == 0
+            served += sent.server == 1
+            driver.end(sent, Outcome.ERROR if fails else Outcome.OK)
+        driver.now += 400 * MS
+    assert firsts.count(1) < 15
+
+
+def test_a_failure_is_forgotten() -> None:
+    driver = Driver(Settings(CLASSES), 2, seed=3)
+    for _ in range(20):  # every request that meets it fails there
+        sent = driver.out(driver.ask())[0]
+        driver.now += 10 * MS
+        driver.end(sent, Outcome.ERROR if sent.server == 1 else Outcome.OK)
+        for other in driver.out():
+            driver.end(other)
+    driver.now += 20 * SECOND
+    used = []
+    for _ in range(60):
+        used.append(driver.serve().server)
+        driver.now += SECOND
+    assert 15 < used.count(1) < 45
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -382,6 +382,7 @@
 
     def _judge_health(self, host: Host, pending: Pending, attempt: Attempt, now: int) -> None:
         if attempt.outcome in FAILURES:
+            host.fault(now)
             self._fail(host, attempt, now)
         elif attempt.trial and attempt.outcome is not Outcome.OK:
             host.breaker.abandon()
--- a/whinrouter/host.py
+++ b/whinrouter/host.py
@@ -11,6 +11,9 @@
 FIRST_LIMIT = 8.0  # attempts a balancer may have in flight at a server it has just met
 BACK_OFF = 0.7  # by which each sign of overload cuts that limit
 RECALL = SECOND // 2  # a server's pace is remembered for this long
+# A failure counts as a request in flight that ends little by little, over this long. Who sends to a
+# server once a second learns too late from three in a row, and never where every other one is served.
+FAULT_RECALL = 10 * SECOND
 IN_VAIN = {None, Outcome.TIMEOUT, Outcome.CANCELLED}  # out, or given up while it was
 
 
@@ -28,11 +31,22 @@
     cut: int = 0  # when the limit was last cut
     pace: float = 1.0  # how long its answers take, as a multiple of the usual time
     paced: int = 0
+    faults: float = 0.0  # failures, as far as they still counted when the last one came
+    faulted: int = 0
     classes: dict[str, ClassBreaker] = field(default_factory=dict)  # an entry for each class announced
 
     def busy(self, now: int) -> float:
         """In flight by pace; a pace not seen again is forgotten, or a bad spell would last for ever."""
-        return (self.in_flight + 1) * (1 + (self.pace - 1) * max(0.0, 1 - (now - self.paced) / RECALL))
+        return (self.in_flight + 1 + self._faults_left(now)) * (
+            1 + (self.pace - 1) * max(0.0, 1 - (now - self.paced) / RECALL)
+        )
+
+    def fault(self, now: int) -> None:
+        """It failed a request: of two it is the other that is tried first, for a while."""
+        self.faults, self.faulted = self._faults_left(now) + 1, now
+
+    def _faults_left(self, now: int) -> float:
+        return self.faults * max(0.0, 1 - (now - self.faulted) / FAULT_RECALL)
 
     def of(self, kind: RequestClass) -> ClassBreaker:
         known = self.classes.get(kind.name)
