Remember a host's failures for a quarter second for each gateway, not for ten seconds

Three gateways see failures of a host often, turnings away of a full one among them, and kept off it long after. How long one is remembered now follows the number of gateways: ten seconds for forty, as before.

--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -93,7 +93,9 @@
                 self._hosts.pop(server, None)
             elif known is None or known.info.started != info.started:
                 # A restarted server is a new one: cold, and its breaker fresh.
-                self._hosts[server] = Host(info, self._random, Breaker(self._random), now)
+                fresh = Host(info, self._random, Breaker(self._random), now)
+                fresh.balancers = self._settings.balancers
+                self._hosts[server] = fresh
             else:
                 known.info = info
         self._settle_shares(now)
--- a/whinrouter/host.py
+++ b/whinrouter/host.py
@@ -11,9 +11,9 @@
 FIRST_LIMIT = 8.0  # attempts a balancer may have in flight at a server it has just met
 BACK_OFF = 0.7  # by which each sign of overload cuts that limit
 RECALL = SECOND // 2  # a server's pace is remembered for this long
-# A failure counts as a request in flight that ends little by little, over this long. Who sends to a
-# server once a second learns too late from three in a row, and never where every other one is served.
-FAULT_RECALL = 10 * SECOND
+# A failure counts as a request in flight that ends little by little, over this long for each balancer: where
+# there are many, each sees few of a server's failures, and three in a row come late.
+FAULT_RECALL = SECOND // 4
 IN_VAIN = {None, Outcome.TIMEOUT, Outcome.CANCELLED}  # out, or given up while it was
 
 
@@ -33,6 +33,7 @@
     paced: int = 0
     faults: float = 0.0  # failures, as far as they still counted when the last one came
     faulted: int = 0
+    balancers: int = 1  # that send to it
     classes: dict[str, ClassBreaker] = field(default_factory=dict)  # an entry for each class announced
 
     def busy(self, now: int) -> float:
@@ -46,7 +47,7 @@
         self.faults, self.faulted = self._faults_left(now) + 1, now
 
     def _faults_left(self, now: int) -> float:
-        return self.faults * max(0.0, 1 - (now - self.faulted) / FAULT_RECALL)
+        return self.faults * max(0.0, 1 - (now - self.faulted) / (FAULT_RECALL * self.balancers))
 
     def of(self, kind: RequestClass) -> ClassBreaker:
         known = self.classes.get(kind.name)
