Reopen a pushed watch within the drain's grace, and start once the agent has spoken

At fault: net/discovery.py, _next_pause: a pause of up to callers x 0.2 s, 4 to 40 s at 200 gateways, which is right where one service is asked by all, but lists are pushed here: an agent on the gateway's own machine answers at once and at no cost, and what it has counts as told with no watch open. Also SILENCE of 5 s and the way back were to fit into 6 s, lists were split at newlines (an indented list ended its watch, for ever), and __main__.py listened on the list of the last run before the agent had spoken, though that counts from the first moment of a process.

Checked with a probe that logged each call: the agent answers a call at once with a list, even an empty one; while discovery is down a call is accepted and stays silent, and is answered at the return. Ruled out: lines of the old service after a move (the cancelled watch has its turn before they are read).

Now, where lists are pushed, a call comes every fifth of the drain's grace and doesn't wait for the one before; the first that is answered is followed, and none but it is heard. Where a service is asked, nothing changes. An unfinished list doesn't count as a sign of life. A start binds its address, and listens once the agent has spoken, or after 10 s. SIGHUP before the handler stands is kept, and until then ignored.

Tests: broken watch, unanswered call, two answers in one turn, lists indented and cut anywhere, a move with a line unread, moves in a row, start with a late, a silent and a moved agent. Each was seen to fail with its part taken back, but for the two on moves, which pass either way. The watch test that took "{" for a bad line takes "{]" now, as an indented list may begin so; the test of a line in pieces cuts it at every byte.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -237,7 +237,7 @@
     if members:
         gateway.list_hosts(HostList(1, True, members))
     frontend = Frontend(gateway, settings, limit)
-    port = await frontend.listen("127.0.0.1", 0)
+    port = await frontend.listen(frontend.bind("127.0.0.1", 0))
     try:
         yield Running(gateway, upstream, frontend, balancer, port)
     finally:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from random import Random
 
 import orjson
 import pytest
 
-from tests.peers import Peer, peers, scenario, until
-from whinrouter.interface import MS, State
+from tests.peers import SETTINGS, Peer, peers, reset, scenario, silent, until
+from whinrouter.interface import MS, SECOND, Settings, State
 from whinrouter.net import discovery
 from whinrouter.net.discovery import Discovery, HostList, number, read_list
 from whinrouter.net.http import Message
@@ -23,6 +25,12 @@
     return b"%x\r\n%s\r\n" % (len(text), text)
 
 
+async def send(writer: asyncio.StreamWriter, text: bytes) -> None:
+    writer.write(text)
+    await writer.drain()
+    await asyncio.sleep(0)
+
+
 def line(revision: int, *members: dict[str, object], complete: bool = True) -> bytes:
     return orjson.dumps({"revision": revision, "complete": complete, "members": members}) + b"\n"
 
@@ -42,20 +50,45 @@
     writer.write(HEAD)
 
 
+@pytest.mark.parametrize("option", [0, orjson.OPT_INDENT_2])
 @scenario
-async def test_a_line_in_pieces_is_read_as_it_comes() -> None:
+async def test_a_list_in_pieces_is_read_as_it_comes(option: int) -> None:
+    """However it is laid out, and wherever it is cut: a bracket in a string is none."""
     async with peers(_says_nothing) as (service,), watching(service) as lists:
         await until(lambda: service.requests)
-        text = line(41, service.entry())
-        writer = service.writers[0]
-        for part in (text[:20], text[20:-1]):
-            writer.write(chunk(part))
-            await writer.drain()
-            await asyncio.sleep(0.02)
-        assert not lists
-        writer.write(chunk(b"\n\n"))
+        member = service.entry(id='s-"}\\', locality="{[")
+        text = orjson.dumps({"revision": 41, "complete": True, "members": [member]}, option=option)
+        text += b"\n\n" + orjson.dumps({"revision": 42, "members": []}, option=option) + b"\n"
+        for place in range(len(text)):
+            await send(service.writers[0], chunk(text[place : place + 1]))
+        await until(lambda: len(lists) > 1)
+        assert [(told.revision, told.complete, len(told.members)) for told in lists] == [
+            (41, True, 1),
+            (42, False, 0),
+        ]
+        assert lists[0].members[0].server.zone == "{["
+        assert len(service.requests) == 1
+
+
+@scenario
+async def test_a_list_that_has_begun_is_not_waited_for_longer_than_silence(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The empty lines behind it show that the service lives, not that the list goes on."""
+    monkeypatch.setattr(discovery, "SILENCE", 0.2)
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        if len(service.requests) > 1:
+            writer.write(HEAD + chunk(line(42)))
+            return
+        writer.write(HEAD + chunk(line(42)[:20]))
+        while not writer.is_closing():
+            await send(writer, chunk(b"\n"))
+            await asyncio.sleep(0.01)
+
+    async with peers(script) as (service,), watching(service) as lists:
         await until(lambda: lists)
-        assert (lists[0].revision, lists[0].complete, len(lists[0].members)) == (41, True, 1)
+        assert len(service.requests) == 2
 
 
 @scenario
@@ -70,7 +103,8 @@
 
 
 @pytest.mark.parametrize(
-    "bad", [b"{\n", b"[]\n", b'{"revision":44,"members":[{"id":"s-1"}]}\n', b'{"revision":44}\n']
+    "bad",
+    [b"{]\n", b"nonsense\n", b"[]\n", b'{"revision":44,"members":[{"id":"s-1"}]}\n', b'{"revision":44}\n'],
 )
 @scenario
 async def test_a_bad_line_begins_the_watch_anew(bad: bytes) -> None:
@@ -162,12 +196,17 @@
     assert number("s-5be2a07c") != number("s-5be2a07d")
 
 
+def asked_by(callers: int) -> Settings:
+    """The settings where one service answers all gateways that ask."""
+    return replace(SETTINGS, balancers=callers, must_subscribe=True)
+
+
 @pytest.mark.parametrize("callers", [3, 40, 400])
 def test_callers_that_all_fail_call_no_more_often_than_one_service_can_answer(callers: int) -> None:
     """Forty gateways, each calling every second or two, were all turned away for the rest of the day."""
     calls, end = 0, 600.0
     for seed in range(callers):
-        watch = Discovery(("127.0.0.1", 1), 0, lambda _: None, callers)
+        watch = Discovery(("127.0.0.1", 1), 0, lambda _: None, asked_by(callers))
         watch._random = Random(seed)
         now = watch._next_pause()
         while now < end:
@@ -179,8 +218,132 @@
 def test_callers_that_lost_their_watch_together_come_back_one_by_one() -> None:
     backs = []
     for seed in range(40):
-        watch = Discovery(("127.0.0.1", 1), 0, lambda _: None, 40)
+        watch = Discovery(("127.0.0.1", 1), 0, lambda _: None, asked_by(40))
         watch._random = Random(seed)
         backs.append(watch._next_pause())
     assert max(sum(begin <= back < begin + 1 for back in backs) for begin in range(8)) <= 10
     assert max(backs) <= 40 * discovery.CALL_TIME
+
+
+PUSHED = replace(SETTINGS, balancers=200, drain_grace=250 * MS)
+
+
+@scenario
+async def test_where_lists_are_pushed_a_broken_watch_is_back_within_the_drain_s_grace() -> None:
+    """The pause grew with the fleet, to 40 s at 200 gateways: hosts announced as leaving were sent to.
+
+    The agent on this machine answers at once and at no cost, and what it has counts as told.
+    """
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + chunk(line(41 + len(service.requests))))
+        if len(service.requests) == 1:
+            reset(writer)
+
+    async with peers(script) as (service,):
+        lists: list[HostList] = []
+        watch = Discovery(("127.0.0.1", service.port), 41, lists.append, PUSHED)
+        pauses: list[float] = []
+        next_pause = watch._next_pause
+        watch._next_pause = lambda: pauses.append(next_pause()) or pauses[-1]  # type: ignore[method-assign,func-returns-value]
+        watch.start()
+        await until(lambda: lists and lists[-1].revision == 43)
+        watch.stop()
+        assert sum(pauses) < PUSHED.drain_grace / SECOND / 2
+
+
+@scenario
+async def test_a_call_that_the_agent_leaves_unanswered_holds_up_no_other() -> None:
+    """It may be back while that call stays silent for good; what it has by then counts as told at once."""
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        if len(service.requests) == 3:
+            left_open.append(service.closed)
+            writer.write(HEAD + chunk(line(42)))
+
+    left_open: list[int] = []
+    async with peers(script) as (service,):
+        lists: list[HostList] = []
+        watch = Discovery(("127.0.0.1", service.port), 41, lists.append, PUSHED)
+        watch.start()
+        await until(lambda: lists)
+        await until(lambda: service.closed == 2)  # those that were not answered first
+        watch.stop()
+        assert left_open == [0]
+
+
+@scenario
+async def test_a_silent_agent_is_called_on_few_connections() -> None:
+    async with peers(silent) as (service,):
+        watch = Discovery(("127.0.0.1", service.port), 41, lambda _: None, PUSHED)
+        watch.start()
+        most = 0
+        for count in range(3 * discovery.MOST_CALLS):
+            await until(lambda: len(service.requests) > count)  # noqa: B023
+            most = max(most, service.connections - service.closed)
+        watch.stop()
+        await until(lambda: service.connections == service.closed)
+        assert most <= discovery.MOST_CALLS + 1  # the one that gave way may not be seen to close yet
+
+
+@scenario
+async def test_of_two_answers_to_two_calls_only_the_first_counts() -> None:
+    """Both lie ready in one turn of the loop; the second is older than what the first has told."""
+    async with peers(silent) as (service,):
+        lists: list[HostList] = []
+        watch = Discovery(("127.0.0.1", service.port), 41, lists.append, PUSHED)
+        watch.start()
+        await until(lambda: len(service.requests) > 1)
+        for writer, revision in zip(service.askers[:2][::-1], (43, 42), strict=True):
+            writer.write(HEAD + chunk(line(revision)))
+        await until(lambda: lists and service.closed)
+        for writer in service.askers[:2]:
+            writer.write(chunk(line(44)))
+        await until(lambda: lists[-1].revision == 44)
+        watch.stop()
+        assert len({told.revision for told in lists}) == 2
+
+
+@pytest.mark.parametrize("known", [41, 0])
+@scenario
+async def test_what_a_service_says_after_the_move_is_not_heard(known: int) -> None:
+    """Its line lies ready as the watch moves; its revision would mean nothing to the new service."""
+    async with peers(_says_nothing, _says_nothing) as (old, new):
+        lists: list[HostList] = []
+        watch = Discovery(("127.0.0.1", old.port), known, lists.append, PUSHED)
+        watch.start()
+        await until(lambda: watch._source.watch)
+        assert watch._source.watch is not None
+        transport = watch._source.watch._transport
+        assert transport is not None
+        old.writers[0].write(chunk(line(57)))
+        select.select([transport.get_extra_info("socket")], [], [])  # it is here, and not read
+        watch.move(("127.0.0.1", new.port))
+        await until(lambda: new.requests and old.closed)
+        assert new.requests[0].target.endswith(b"from=0")
+        assert not lists
+        new.writers[0].write(chunk(line(3)))
+        await until(lambda: lists)
+        assert [told.revision for told in lists] == [3]
+        watch.stop()
+
+
+@scenario
+async def test_two_moves_in_a_row_end_at_the_second_service() -> None:
+    """The first is left before its connection is up, or as soon as it is."""
+    async with peers(_says_nothing, _says_nothing, _says_nothing) as (old, between, new):
+        lists: list[HostList] = []
+        watch = Discovery(("127.0.0.1", old.port), 41, lists.append, PUSHED)
+        watch.start()
+        await until(lambda: old.requests)
+        watch.move(("127.0.0.1", between.port))
+        watch.move(("127.0.0.1", old.port))
+        watch.move(("127.0.0.1", between.port))
+        await asyncio.sleep(0)  # it connects
+        watch.move(("127.0.0.1", new.port))
+        await until(lambda: new.requests and old.closed)
+        new.writers[0].write(chunk(line(3)))
+        await until(lambda: lists)
+        await until(lambda: between.connections == between.closed)
+        assert not between.requests
+        watch.stop()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import signal
+import socket
 import sys
 import time
 from collections.abc import AsyncIterator
@@ -27,6 +28,7 @@
     until,
 )
 from tests.test_discovery import HEAD, chunk, line
+from whinrouter import __main__ as main
 from whinrouter.net.config import load
 from whinrouter.net.http import Message
 
@@ -89,6 +91,17 @@
     return int((await logged(process, "listens on")).rsplit(":", 1)[1])
 
 
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def accepts(port: int) -> bool:
+    with socket.socket() as probe:
+        return probe.connect_ex(("127.0.0.1", port)) == 0
+
+
 async def is_up(port: int) -> int:
     client = await Client.connect(port)
     client.writer.write(b"GET /up HTTP/1.1\r\n\r\n")
@@ -98,7 +111,8 @@
 
 
 async def _watch(request: Message, writer: asyncio.StreamWriter) -> None:
-    writer.write(HEAD)
+    """The agent: it answers at once, and knows of no change."""
+    writer.write(HEAD + chunk(line(41, complete=False)))
 
 
 @scenario
@@ -168,6 +182,67 @@
                 await asyncio.sleep(0.01)
 
 
+@scenario
+async def test_a_new_process_listens_once_the_agent_has_spoken(tmp_path: Path) -> None:
+    """The list of its last run may be old: what the agent has counts as told from the first moment."""
+    async with peers(says(body=b"left"), says(body=b"told")) as (left, fresh):
+        port = free_port()
+        async with (
+            peers(silent) as (service,),
+            program(tmp_path, told(service.port, left.entry(), listen=f"127.0.0.1:{port}")) as process,
+        ):
+            await until(lambda: service.requests)
+            for _ in range(3):
+                with pytest.raises(ConnectionRefusedError):
+                    await Client.connect(port)
+                count = len(service.requests)
+                await until(lambda: len(service.requests) > count)  # noqa: B023
+            for asker in service.askers:
+                asker.write(HEAD + chunk(line(42, fresh.entry(id="s-9"))))
+            assert await port_of(process) == port
+            client = await Client.connect(port)
+            assert (await client.ask()).body == b"told"
+            assert not left.requests
+
+
+@scenario
+async def test_a_new_process_is_ready_though_the_agent_stays_silent(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(main, "FIRST_LIST_TIME", 0.1)
+    async with peers(says(), silent) as (host, service):
+        port = free_port()
+        path = write(tmp_path, told(service.port, host.entry(), listen=f"127.0.0.1:{port}"))
+        serving = asyncio.create_task(main.serve(load({"PROXY_CONFIG": str(path)})))
+        await until(lambda: accepts(port))
+        assert await is_up(port) == 200
+        assert (await (await Client.connect(port)).ask()).status == 200
+        signal.raise_signal(signal.SIGTERM)
+        await serving
+
+
+@scenario
+async def test_sigterm_ends_a_process_that_still_waits_for_the_agent(tmp_path: Path) -> None:
+    async with peers(silent) as (service,), program(tmp_path, told(service.port)) as process:
+        await until(lambda: service.requests)
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(GENEROUS):
+            assert await process.wait() == 0
+
+
+@scenario
+async def test_sighup_moves_a_process_that_still_waits_for_the_agent(tmp_path: Path) -> None:
+    async with (
+        peers(says(), silent, _watch) as (host, old, new),
+        program(tmp_path, told(old.port, host.entry())) as process,
+    ):
+        await until(lambda: old.requests)
+        write(tmp_path, told(new.port, host.entry()))
+        process.send_signal(signal.SIGHUP)
+        assert await is_up(await port_of(process)) == 200
+        assert new.requests[0].target.endswith(b"from=0")
+
+
 @scenario
 async def test_sighup_moves_the_watch_to_the_discovery_of_the_new_file(tmp_path: Path) -> None:
     """The old list serves until the new service tells its whole list, though a variable named the old one."""
--- a/whinrouter/__main__.py
+++ b/whinrouter/__main__.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
 from dataclasses import replace
 
 from whinrouter.balance import Balancer
@@ -22,11 +23,16 @@
 
 RESERVED = 32  # descriptors for all that is no client's and no host's connection, or not counted yet
 STILL_ACCEPTING = 0.5  # seconds for which connections go on coming after SIGTERM
+# Seconds for which a start waits to hear from the agent on this machine, since the list of the last run may
+# name hosts that have left. It answers at once if at all; the wait outlasts a short outage of discovery, and
+# is a third of the 30 s within which the platform wants a gateway ready.
+FIRST_LIST_TIME = 10.0
 LAG_STEP, LAG_SHOWN = 0.1, 0.05
 SELDOM = 1.0  # seconds between two log lines of a kind
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, early: Sequence[int] = ()) -> None:
+    """Run until SIGTERM; `early` are the signals to read the file again that came after it was read."""
     half = max(1, (config.sockets - RESERVED) // 2)
     upstream = Upstream(config.connect_time, config.idle_time, half)
     gateway = Gateway(Balancer(config.settings, config.seed), upstream)
@@ -36,16 +42,23 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    callers = config.settings.balancers
-    discovery = Discovery(config.discovery, config.known.revision, gateway.list_hosts, callers)
-    loop.add_signal_handler(signal.SIGHUP, _Reload(config, discovery))
     try:
-        port = await frontend.listen(*config.listen)
+        listener = frontend.bind(*config.listen)
     except OSError as error:
         raise ConfigError(
             f"cannot listen on {config.listen[0]}:{config.listen[1]}: {error.strerror}"
         ) from None
+    discovery = Discovery(config.discovery, config.known.revision, gateway.list_hosts, config.settings)
     discovery.start()
+    reload_file = _Reload(config, discovery)
+    loop.add_signal_handler(signal.SIGHUP, reload_file)
+    if early:
+        reload_file()
+    if not config.settings.must_subscribe:
+        await _any_of(FIRST_LIST_TIME, discovery.told, stop)
+        if not discovery.told.is_set():
+            log.warning("discovery has said nothing yet; going on with the list of the last run")
+    port = await frontend.listen(listener)
     lag = loop.create_task(_watch_lag())
     # What exists now stays: the collector need not look at it again, which would hold up the loop.
     gc.collect()
@@ -61,6 +74,14 @@
     lag.cancel()
 
 
+async def _any_of(seconds: float, *events: asyncio.Event) -> None:
+    """Wait for the first of them, but no longer than so many seconds."""
+    waits = [asyncio.create_task(event.wait()) for event in events]
+    await asyncio.wait(waits, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+
+
 class _Seldom(logging.Filter):
     """Peers can cause some lines at will: of a kind, one in a second is enough."""
 
@@ -132,8 +153,10 @@
     )
     for handler in logging.getLogger().handlers:
         handler.addFilter(_Seldom())
+    early: list[int] = []  # such a signal would end the program, or find the file read and be lost
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     try:
-        asyncio.run(serve(load(os.environ)))
+        asyncio.run(serve(load(os.environ), early))
     except ConfigError as error:
         print(f"whinrouter: {error}", file=sys.stderr)
         return 2
--- a/whinrouter/interface.py
+++ b/whinrouter/interface.py
@@ -109,6 +109,7 @@
     retry_after: bool = False  # clients are told how long to stay away
     max_retry_after: int = 0  # and for how long at most
     must_subscribe: bool = False  # discovery sends changes only when asked to
+    drain_grace: int = 0  # for this long after a drain was told, sends to that server are still forgiven
     load_in_answers: bool = False
     load_in_probes: bool = False
     warm_keys: bool = False  # a server that has lately met a key does less work for it
@@ -136,8 +137,9 @@
                 raise ValueError(f"{key} must be above 0")
         if self.max_retry_after < 0:
             raise ValueError("max_retry_after must not be below 0")
-        if self.ramp_time < 0:
-            raise ValueError("ramp_time must not be below 0")
+        for key in ("ramp_time", "drain_grace"):
+            if getattr(self, key) < 0:
+                raise ValueError(f"{key} must not be below 0")
 
 
 @dataclass(frozen=True, slots=True)
--- a/whinrouter/net/discovery.py
+++ b/whinrouter/net/discovery.py
@@ -13,17 +13,26 @@
 import httptools
 import orjson
 
-from whinrouter.interface import MS, Server, ServerId, State
+from whinrouter.interface import MS, SECOND, Server, ServerId, Settings, State
+from whinrouter.net.jsonstream import JsonStream
 
 log = logging.getLogger(__name__)
 
-SILENCE = 5.0  # seconds; while nothing changes an empty line comes every 2 s, so two were missed
+# Seconds. While nothing changes an empty line comes every 2 s; what a silent watch misses counts as told
+# after 6 s, and by then a new one must have brought it.
+SILENCE = 3.0
 CONNECT_TIME = 1.0
+ANSWER_TIME = 5.0  # seconds; a service that is asked by all gateways may keep a call waiting
+# Where lists are pushed, an agent on this machine answers at once and at no cost, or not at all. What it has
+# counts as told from the moment at which it has it, so a call comes several times within the time that a
+# drain allows, and doesn't wait for the last one's end: the agent may be back while that stays unanswered.
+AGAIN_PART = 0.2  # of the drain's grace
+LEAST_AGAIN, MOST_AGAIN = 0.02, 0.5  # seconds: nothing busier than this, and in time for all that is due
+MOST_CALLS = 5  # open at a time; the oldest gives way
 # Seconds of the service that a call may take. One service answers all gateways, call after call, and those
 # that wait too long in vain: called more often than it can answer, it answers nobody.
 CALL_TIME = 0.2
 LONGEST_PAUSE = 2.0  # seconds between calls, unless all gateways need longer for two calls each
-MAX_LINE = 4 * 1024 * 1024
 
 _STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
 
@@ -70,46 +79,63 @@
     return Member(server, (host, int(port)))
 
 
-class _Watching(asyncio.Protocol):
-    """One connection to discovery: hands on each line as it comes, and knows when it has gone silent."""
+@dataclass(slots=True, eq=False)
+class _Source:
+    """A service that is watched: its revisions mean nothing to another, and once left it is not heard."""
 
-    def __init__(self, path: str, host: str, take: Callable[[bytes], None]) -> None:
-        self._request = f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode()
-        self._take = take
-        self._rest = b""
+    address: tuple[str, int]
+    revision: int
+    watch: _Watching | None = None  # the call that is followed: the first that was answered
+
+
+class _Watching(asyncio.Protocol):
+    """One call to discovery: hands on each list as it comes, and knows when it has gone silent."""
+
+    def __init__(self, source: _Source, owner: Discovery) -> None:
+        host, port = source.address
+        self._request = (
+            f"GET /discovery/hosts?watch=1&from={source.revision} HTTP/1.1\r\n"
+            f"Host: {host}:{port}\r\nAccept: application/json\r\n\r\n"
+        ).encode()
+        self._source = source
+        self._owner = owner
+        self._texts = JsonStream()
         self._parser = httptools.HttpResponseParser(self)
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._silence: asyncio.TimerHandle | None = None
         self.over: asyncio.Future[str] = self._loop.create_future()
+        self.answered: asyncio.Future[bool] = self._loop.create_future()  # False if it ended before
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.write(self._request)
-        self._wait()
+        self._wait(ANSWER_TIME)
 
     def data_received(self, data: bytes) -> None:
         if self.over.done():
             return
-        self._wait()
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             cause = error.__context__ or error
             self.end(f"{type(cause).__name__}: {cause}")
+        if not self._texts.began and not self.over.done():  # a list that has begun has to end within its time
+            self._wait(SILENCE)
 
     def on_headers_complete(self) -> None:
         if self._parser.get_status_code() != 200:
             raise ValueError(f"discovery answered {self._parser.get_status_code()}")
+        if not self._owner.follows(self._source, self):
+            self.end("another call is followed")
+        elif not self.answered.done():
+            self.answered.set_result(True)
 
     def on_body(self, data: bytes) -> None:
-        *lines, self._rest = (self._rest + data).split(b"\n")
-        if len(self._rest) > MAX_LINE:
-            raise ValueError("a line has no end")
-        for line in lines:
-            if line.strip():
-                self._take(line)
+        for text in self._texts.feed(data):
+            if self._owner.follows(self._source, self):
+                self._owner.hear(text)
 
     def on_message_complete(self) -> None:
         self.end("the watch ended")
@@ -122,77 +148,124 @@
             self._silence.cancel()
         if self._transport is not None:
             self._transport.abort()
+        if not self.answered.done():
+            self.answered.set_result(False)
         if not self.over.done():
             self.over.set_result(why)
 
-    def _wait(self) -> None:
+    def _wait(self, seconds: float) -> None:
         """A machine that is cut off says nothing, and TCP doesn't notice: silence is the only sign."""
         if self._silence is not None:
             self._silence.cancel()
-        self._silence = self._loop.call_later(SILENCE, self.end, "the watch is silent")
+        self._silence = self._loop.call_later(seconds, self.end, "the watch is silent")
 
 
 class Discovery:
     """Keeps a watch going, from the last version that came; the old list stays in force meanwhile."""
 
     def __init__(
-        self, address: tuple[str, int], revision: int, take: Callable[[HostList], None], callers: int = 1
+        self,
+        address: tuple[str, int],
+        revision: int,
+        take: Callable[[HostList], None],
+        settings: Settings | None = None,
     ) -> None:
-        self._address = address
-        self._revision = revision
+        self._source = _Source(address, revision)
         self._take = take
-        self._turn = callers * CALL_TIME
+        self._asked = settings is not None and settings.must_subscribe
+        grace = settings.drain_grace / SECOND if settings is not None else 0.0
+        self._again = min(MOST_AGAIN, max(LEAST_AGAIN, AGAIN_PART * grace))
+        self._turn = (settings.balancers if settings is not None else 1) * CALL_TIME
         self._random = Random()
         self._pause = self._turn
         self._task: asyncio.Task[None] | None = None
+        self.told = asyncio.Event()  # a list has come since the start
 
     def start(self) -> None:
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task = asyncio.get_running_loop().create_task(self._run(self._source))
 
     def stop(self) -> None:
         if self._task is not None:
             self._task.cancel()
 
     def move(self, address: tuple[str, int]) -> None:
-        """Watch another service, from its whole list on: a revision means nothing to any other service."""
+        """Watch another service, from its whole list on."""
         self.stop()
-        self._address, self._revision, self._pause = address, 0, self._turn
+        self._source, self._pause = _Source(address, 0), self._turn
         self.start()
 
-    async def _run(self) -> None:
+    async def _run(self, source: _Source) -> None:
         while True:
             try:
-                log.info("discovery: %s; asking again", await self._watch())
+                watch = await self._reach(source)
+                log.info("discovery: %s; asking again", await watch.over)
             except Exception:  # without a watch, hosts that drain would go unnoticed for good
                 log.exception("discovery: failed; asking again")
+            finally:
+                if source.watch is not None:
+                    source.watch.end("stopped")
+                source.watch = None
             await asyncio.sleep(self._next_pause())
 
     def _next_pause(self) -> float:
-        """Seconds until the next call: any time in which all callers have a turn, as all may want one."""
+        """Seconds until the next call; where all gateways ask one service, any time that gives all a turn."""
+        if not self._asked:
+            return self._again
         pause = self._pause * self._random.uniform(0.1, 1)
         self._pause = min(2 * self._pause, max(2 * self._turn, LONGEST_PAUSE))
         return pause
 
-    async def _watch(self) -> str:
-        """Follow one watch to its end; return why it ended."""
-        host, port = self._address
-        path = f"/discovery/hosts?watch=1&from={self._revision}"
-        loop = asyncio.get_running_loop()
+    async def _reach(self, source: _Source) -> _Watching:
+        """Call until the service answers."""
+        calls: list[asyncio.Task[None]] = []
+        try:
+            while source.watch is None:
+                calls = [call for call in calls if not call.done()]
+                if len(calls) >= MOST_CALLS:
+                    calls.pop(0).cancel()
+                calls.append(asyncio.create_task(self._call(source)))
+                await asyncio.wait(
+                    calls,
+                    timeout=None if self._asked else self._again,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                ended = [call for call in calls if call.done()]
+                for call in ended:
+                    call.result()
+                if ended and source.watch is None:
+                    await asyncio.sleep(self._next_pause())
+            return source.watch
+        finally:
+            for call in calls:
+                call.cancel()
+
+    async def _call(self, source: _Source) -> None:
+        """One call, until it is answered or over."""
         try:
             async with asyncio.timeout(CONNECT_TIME):
-                _, watching = await loop.create_connection(
-                    lambda: _Watching(path, f"{host}:{port}", self._line), host, port
+                _, watch = await asyncio.get_running_loop().create_connection(
+                    lambda: _Watching(source, self), *source.address
                 )
         except (OSError, TimeoutError) as error:
-            return f"no connection ({error or 'too slow'})"
+            log.info("discovery: no connection (%s); asking again", error or "too slow")
+            return
         try:
-            return await watching.over
+            if not await watch.answered:
+                log.info("discovery: %s; asking again", await watch.over)
         finally:
-            watching.end("stopped")
-
-    def _line(self, line: bytes) -> None:
-        # Raises on a bad line, which ends the watch: what it held would be missing from the list for good.
-        told = read_list(orjson.loads(line))
+            if source.watch is not watch:
+                watch.end("another call is followed")
+
+    def follows(self, source: _Source, watch: _Watching) -> bool:
+        """Whether what this call brings counts: of those to one service, the first that was answered."""
+        if source is self._source and source.watch is None and not watch.over.done():
+            source.watch = watch
+        return source is self._source and source.watch is watch
+
+    def hear(self, text: bytes) -> None:
+        # Raises on a bad text, which ends the watch: what it held would be missing from the list for good.
+        told = read_list(orjson.loads(text))
         self._take(told)
-        self._revision = told.revision
+        self._source.revision = told.revision
         self._pause = self._turn
+        self.told.set()
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -57,10 +57,20 @@
         self._loop = asyncio.get_running_loop()
         self._server: asyncio.Server | None = None
 
-    async def listen(self, host: str, port: int) -> int:
-        """Take connections; return the port, which 0 leaves to the system."""
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
+    @staticmethod
+    def bind(host: str, port: int) -> socket.socket:
+        """Hold the address without listening: until then whoever connects is turned away by the system."""
+        listener = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind((host, port))
+        except OSError:
+            listener.close()
+            raise
+        return listener
+
+    async def listen(self, listener: socket.socket) -> int:
+        """Take connections; return the port."""
         self._server = await self._loop.create_server(
             lambda: _Client(self), sock=listener, backlog=ACCEPTED_AT_ONCE
         )
--- a/whinrouter/wire.py
+++ b/whinrouter/wire.py
@@ -75,6 +75,7 @@
         retry_after=bool(allowed.get("retryAfter")),
         max_retry_after=int(allowed.get("maxRetryAfter") or 0),
         must_subscribe=setup.get("registryMode") == "subscribe",
+        drain_grace=int(rules.get("stopSendingWithin") or 0),
         load_in_answers=reports.get("how") == "piggyback",
         load_in_probes=reports.get("how") in ("piggyback", "pull"),
         warm_keys=bool((setup.get("familyInfo") or {}).get("warmKeys")),
