Close the races at the end of clients, connections, hosts and the program

The client's socket is now asked right before each write. - net/frontend.py: with answers unread, a client's end closed nothing, and the request queued behind was sent on once they were taken, or the one in work went on to its deadline. eof_received ends both now. - net/upstream.py, _idle: the connection used last was taken at once. A connection is left alone for 10 ms. - net/gateway.py, list_hosts: connections lost their hosts one by one before the module had the list, so an attempt given up at one leaving host was made at another of the same list. The module hears first. - At SIGTERM: the backlog was reset with the listener; idle connections were closed over an unread request, pipelined ones dropped behind "close"; a late request could outlast the process. The backlog is taken first, unread bytes keep a connection, "close" comes with the last answer, deadlines end before we do. - The same unread bytes were lost where idle connections made room or ran out of time. - Signals after the loop's end, SIGHUP before its handler; addresses that fail oddly at each connect (port 0, a NUL) were taken. They are refused with a plain line, and what is in force goes on. Look-ups in _held: an entry goes only after its events were fed, and clients leave only between events or under a Send.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -397,7 +397,7 @@
         text = request_text()
         client.writer.write(text[:30])
         await until(lambda: any(other._requests.began for other in proxy.frontend.connections))
-        proxy.frontend.stopping = True
+        proxy.frontend.ends = asyncio.get_running_loop().time() + 60
         proxy.frontend.close()
         client.writer.write(text[30:])
         answer = await client.answer()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -270,11 +270,27 @@
             process.send_signal(signal.SIGTERM)
             await logged(process, "stopping")
             process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
             assert await process.wait() == 0
             assert len(new.requests) == 1
 
 
-@pytest.mark.parametrize("config", [b"{", {"listen": "nowhere"}, None])
+BAD_ADDRESSES = [
+    "",
+    "127.0.0.1",
+    "127.0.0.1:0",
+    "127.0.0.1:70000",
+    "127.0.0.1:-1",
+    "a..b:80",
+    "a\0b:80",
+    "a b:8",
+]
+
+
+@pytest.mark.parametrize(
+    "config",
+    [b"{", b"\xff", {"listen": "nowhere"}, None, *(told(1, discovery=text) for text in BAD_ADDRESSES)],
+)
 @scenario
 async def test_sighup_with_a_bad_file_changes_nothing(tmp_path: Path, config: object) -> None:
     async with (
@@ -302,6 +318,62 @@
         assert "the next start" in await logged(process, "reload: ")
 
 
+@scenario
+async def test_sighup_as_the_file_has_just_been_read_is_not_lost(tmp_path: Path) -> None:
+    """It comes between the reading and the handler: the file may have changed since."""
+    async with peers(says(), _watch, _watch) as (host, old, new):
+        path = write(tmp_path, told(old.port, host.entry()))
+        (tmp_path / "new.json").write_bytes(orjson.dumps(told(new.port, host.entry())))
+        code = """
+import os, signal, sys
+from whinrouter import __main__ as program
+
+load = program.load
+def late(environment):
+    config = load(environment)
+    os.replace(sys.argv[1], environment["PROXY_CONFIG"])
+    os.kill(os.getpid(), signal.SIGHUP)
+    return config
+
+program.load = late
+sys.exit(program.main())
+"""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            code,
+            str(tmp_path / "new.json"),
+            env={"PROXY_CONFIG": str(path)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        assert await is_up(await port_of(process)) == 200
+        assert new.requests
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+
+
+@scenario
+async def test_signals_after_the_end_of_the_loop_do_not_make_it_a_crash(tmp_path: Path) -> None:
+    """They find no handler any more, and by default they end a process with their number."""
+    code = """
+import os, signal, sys
+from whinrouter import __main__ as program
+
+async def serve(config, early):
+    pass
+
+program.serve = serve
+status = program.main()
+for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+    os.kill(os.getpid(), number)
+sys.exit(status)
+"""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", code, env={"PROXY_CONFIG": str(write(tmp_path, told(1)))}
+    )
+    assert await process.wait() == 0
+
+
 def _without(key: str) -> dict[str, Any]:
     return {name: value for name, value in told(1).items() if name != key}
 
@@ -315,7 +387,8 @@
         _without("settings"),
         told(1, listen="nowhere"),
         told(1, listen="127.0.0.1:port"),
-        told(1, discovery=""),
+        *(told(1, discovery=text) for text in BAD_ADDRESSES),
+        told(1, known={"members": [{"id": "s-1", "host_port": "127.0.0.1:70000", "phase": "Ready"}]}),
         told(1, settings={}),
         told(1, settings=[]),
         told(1, known={"members": [{}]}),
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -11,6 +11,7 @@
 
 from tests.peers import Peer, Script, peers, reset, resets, says, scenario, silent, until
 from whinrouter.interface import Outcome, Server, State
+from whinrouter.net import upstream
 from whinrouter.net.discovery import Member, number
 from whinrouter.net.http import Message
 from whinrouter.net.upstream import Attempt, Upstream
@@ -41,8 +42,15 @@
     def _ended(self, attempt: Attempt, outcome: Outcome, answer: Message | None) -> None:
         self.ends.append((outcome, answer))
 
+    async def settle(self) -> None:
+        """Wait until idle connections may be used again."""
+        idle = self.upstream._hosts[HOST].idle
+        loop = asyncio.get_running_loop()
+        await until(lambda: all(loop.time() - other.idle_since > upstream.SETTLE_TIME for other in idle))
+
     async def outcome(self, message: Message = PAGE) -> Outcome:
         count = len(self.ends)
+        await self.settle()
         assert self.start(message) is not None
         await until(lambda: len(self.ends) > count)
         return self.ends[-1][0]
@@ -128,6 +136,7 @@
     (connection,) = sender.upstream._hosts[HOST].idle
     assert connection._transport is not None
     connection._transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    await sender.settle()
     sender.start(Message(b"POST", b"/chapter-buy", headers=PAGE.headers, body=bytes(size)))
     await asyncio.sleep(0.05)
     broken.set()
@@ -147,6 +156,7 @@
         for count, writer in enumerate((second, first), 1):
             await says()(PAGE, writer)
             await until(lambda: len(sender.ends) == count)  # noqa: B023
+        await sender.settle()
         sender.start()
         await until(lambda: len(host.requests) == 3)
         await says(body=b"again")(PAGE, first)
--- a/whinrouter/__main__.py
+++ b/whinrouter/__main__.py
@@ -66,10 +66,12 @@
     log.info("%s listens on %s:%d", config.name, config.listen[0], port)
     await stop.wait()
     log.info("stopping: %d requests held", gateway.holds)
-    frontend.stopping = True
+    longest = max(kind.deadline for kind in config.settings.classes) / SECOND
+    frontend.ends = loop.time() + STILL_ACCEPTING + longest
     await asyncio.sleep(STILL_ACCEPTING)
+    await frontend.empty_backlog()
     frontend.close()
-    await _until_answered(frontend, max(kind.deadline for kind in config.settings.classes) / SECOND)
+    await _until_answered(frontend)
     discovery.stop()
     lag.cancel()
 
@@ -124,10 +126,10 @@
             log.warning("reload: only discovery changes; the rest of the file waits for the next start")
 
 
-async def _until_answered(frontend: Frontend, longest: float) -> None:
+async def _until_answered(frontend: Frontend) -> None:
     """Each connection closes with its answer; one who doesn't read must not hold up the exit."""
     try:
-        async with asyncio.timeout(longest):
+        async with asyncio.timeout_at(frontend.ends):
             while frontend.connections:
                 await asyncio.sleep(0.01)
     except TimeoutError:
@@ -144,6 +146,14 @@
             log.warning("the loop runs %d ms late", (loop.time() - due) * 1000)
 
 
+async def _to_the_end(config: Config, early: Sequence[int]) -> None:
+    """Serve, and let no signal through after that: without a handler it would end us as though by a crash."""
+    try:
+        await serve(config, early)
+    finally:
+        signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT))
+
+
 def main() -> int:
     logging.basicConfig(
         stream=sys.stderr,
@@ -156,7 +166,7 @@
     early: list[int] = []  # such a signal would end the program, or find the file read and be lost
     signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     try:
-        asyncio.run(serve(load(os.environ), early))
+        asyncio.run(_to_the_end(load(os.environ), early))
     except ConfigError as error:
         print(f"whinrouter: {error}", file=sys.stderr)
         return 2
--- a/whinrouter/net/config.py
+++ b/whinrouter/net/config.py
@@ -12,10 +12,9 @@
 
 from whinrouter import wire
 from whinrouter.interface import SECOND, Settings
+from whinrouter.net.address import Address, address
 from whinrouter.net.discovery import HostList, read_list
 
-Address = tuple[str, int]
-
 _FIXED = {"name": "PROXY_NAME", "listen": "PROXY_LISTEN"}  # for the life of the process
 
 
@@ -71,8 +70,8 @@
     limits, allowed = told.get("limits") or {}, setup.get("permissions") or {}
     return Config(
         name=str(told.get("name") or ""),
-        listen=address(told["listen"]),
-        discovery=address(told["discovery"]),
+        listen=address(str(told["listen"]), least_port=0),
+        discovery=address(str(told["discovery"])),
         seed=int.from_bytes(blake2b(str(told.get("seed")).encode(), digest_size=8).digest(), "big"),
         known=read_list(told.get("known") or {"members": []}),
         settings=wire.settings(setup),
@@ -80,10 +79,3 @@
         idle_time=int(allowed.get("connIdle") or 15 * SECOND) / SECOND,
         sockets=int(limits.get("sockets") or 1024),
     )
-
-
-def address(text: str) -> Address:
-    host, colon, port = str(text).rpartition(":")
-    if not colon or not host or not port.isdigit() or not 0 <= int(port) < 65536:
-        raise ValueError(f"{text!r} is no address of the form host:port")
-    return host.strip("[]"), int(port)
--- a/whinrouter/net/discovery.py
+++ b/whinrouter/net/discovery.py
@@ -14,6 +14,7 @@
 import orjson
 
 from whinrouter.interface import MS, SECOND, Server, ServerId, Settings, State
+from whinrouter.net.address import Address, address
 from whinrouter.net.jsonstream import JsonStream
 
 log = logging.getLogger(__name__)
@@ -42,7 +43,7 @@
     """One host: as the module knows it, and where it listens."""
 
     server: Server
-    address: tuple[str, int]
+    address: Address
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +67,6 @@
 
 
 def _member(entry: Mapping[str, Any]) -> Member:
-    host, _, port = str(entry["host_port"]).rpartition(":")
     server = Server(
         id=number(str(entry["id"])),
         state=_STATES.get(str(entry.get("phase")), State.DRAINING),
@@ -76,14 +76,14 @@
         weight=float(entry.get("size") or 1.0),
         started=int(entry.get("up_since_ms") or 0) * MS,
     )
-    return Member(server, (host, int(port)))
+    return Member(server, address(str(entry["host_port"])))
 
 
 @dataclass(slots=True, eq=False)
 class _Source:
     """A service that is watched: its revisions mean nothing to another, and once left it is not heard."""
 
-    address: tuple[str, int]
+    address: Address
     revision: int
     watch: _Watching | None = None  # the call that is followed: the first that was answered
 
@@ -165,7 +165,7 @@
 
     def __init__(
         self,
-        address: tuple[str, int],
+        address: Address,
         revision: int,
         take: Callable[[HostList], None],
         settings: Settings | None = None,
@@ -188,7 +188,7 @@
         if self._task is not None:
             self._task.cancel()
 
-    def move(self, address: tuple[str, int]) -> None:
+    def move(self, address: Address) -> None:
         """Watch another service, from its whole list on."""
         self.stop()
         self._source, self._pause = _Source(address, 0), self._turn
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+import select
 import socket
 from collections import OrderedDict, deque
 from collections.abc import Mapping
@@ -34,8 +35,11 @@
 LINGER = 0.5  # seconds for which a client may go on sending what was rejected
 SWEEP_EVERY = 0.25  # seconds between looks at who is overdue
 BACKLOG = 512  # connections that wait in the system for their turn
+TURNS_TO_ACCEPT = 3  # of the loop, from when it takes a connection from the system to when we know of it
 ACCEPTED_AT_ONCE = 16  # each takes a descriptor before anyone can count it
 
+_ENDED = getattr(select, "POLLRDHUP", select.POLLHUP)  # where there is no such word, a full close alone shows
+
 _TOLD_ONCE = frozenset(
     (b"x-request-id", b"x-class", b"x-deadline", b"x-key", b"x-tenant", b"x-cost-hint", b"idempotency-key")
 )
@@ -53,7 +57,7 @@
         self.waiting: OrderedDict[_Client, None] = OrderedDict()
         self.open_ids: set[str] = set()  # of the requests in work
         self.buffered = 0  # bytes of requests that are not in work yet
-        self.stopping = False
+        self.ends = math.inf  # loop time by which all has its answer; finite once the program is to end
         self._loop = asyncio.get_running_loop()
         self._server: asyncio.Server | None = None
 
@@ -80,6 +84,10 @@
         self._loop.call_later(SWEEP_EVERY, self._sweep)
         return int(listener.getsockname()[1])
 
+    @property
+    def stopping(self) -> bool:
+        return self.ends < math.inf
+
     @property
     def ready(self) -> bool:
         return self.gateway.has_list and not self.stopping
@@ -91,6 +99,14 @@
         for client in list(self.connections):
             client.close_if_idle()
 
+    async def empty_backlog(self) -> None:
+        """Take what the system has accepted for us: it would reset that with the listener."""
+        empty = 0
+        while self._server is not None and empty < TURNS_TO_ACCEPT:
+            waits = any(_ready(sock, select.POLLIN) for sock in self._server.sockets)
+            empty = 0 if waits else empty + 1
+            await asyncio.sleep(0)
+
     def admit(self, client: _Client) -> bool:
         """Hold no more than the limit: descriptors would run out, and connections to hosts would fail.
 
@@ -100,9 +116,11 @@
         if len(self.connections) >= self.limit:
             if not self.waiting:
                 return False
-            next(iter(self.waiting)).drop()
+            # One with bytes that we have not read goes last: they may be a request.
+            next((other for other in self.waiting if not other.has_unread), next(iter(self.waiting))).drop()
         elif len(self.connections) >= IDLE_PART * self.limit:
-            longest = next((other for other in self.waiting if other.idle and not other.owed), None)
+            idle = (other for other in self.waiting if other.idle and not other.owed)
+            longest = next((other for other in idle if not other.has_unread), None)
             if longest is not None:
                 longest.drop()
         self.connections.add(client)
@@ -124,7 +142,7 @@
         return Asked(
             message,
             kind.name,
-            _timeout(told.get(b"x-deadline"), kind),
+            self._timeout(told.get(b"x-deadline"), kind),
             # A hint of more work than its class has time for would outweigh all other requests.
             min(int(hint), kind.deadline) if hint.isdigit() and len(hint) <= 12 else 0,
             _text(told.get(b"x-key")),
@@ -132,6 +150,21 @@
             _text(told.get(b"x-tenant")) or "",
         )
 
+    def _timeout(self, text: bytes | None, kind: RequestClass) -> int:
+        """How long the client waits; at most its class's limit, and no longer than we do."""
+        limit = kind.deadline
+        if self.stopping:
+            limit = min(limit, max(1, round((self.ends - self._loop.time()) * SECOND)))
+        if text is None:
+            return limit
+        try:
+            seconds = float(text)
+        except ValueError:
+            seconds = math.nan
+        if not math.isfinite(seconds) or seconds <= 0:
+            raise BadMessageError(HTTPStatus.BAD_REQUEST, "the deadline is no time")
+        return min(round(seconds * SECOND), limit)
+
     def _class_of(self, message: Message, told: Mapping[bytes, bytes]) -> RequestClass:
         path = message.target.split(b"?", 1)[0]
         name = path.strip(b"/").split(b"/", 1)[0]
@@ -143,6 +176,12 @@
         return kind
 
 
+def _ready(sock: socket.socket, events: int) -> bool:
+    poll = select.poll()
+    poll.register(sock, events)
+    return any(found & (events | select.POLLERR | select.POLLHUP) for _, found in poll.poll(0))
+
+
 def _told_once(message: Message) -> dict[bytes, bytes]:
     """The headers that are acted on. Of one that comes twice a host might believe the other."""
     told: dict[bytes, bytes] = {}
@@ -158,19 +197,6 @@
     return None if value is None else value.decode("latin-1")
 
 
-def _timeout(text: bytes | None, kind: RequestClass) -> int:
-    """How long the client waits; its class's limit if it doesn't say, or says more than that."""
-    if text is None:
-        return kind.deadline
-    try:
-        seconds = float(text)
-    except ValueError:
-        seconds = math.nan
-    if not math.isfinite(seconds) or seconds <= 0:
-        raise BadMessageError(HTTPStatus.BAD_REQUEST, "the deadline is no time")
-    return min(round(seconds * SECOND), kind.deadline)
-
-
 class _Client(Reading):
     """One client's connection; its requests are handled one after the other."""
 
@@ -206,6 +232,22 @@
         """Whether it is between requests: none is owed an answer, and none has begun to come."""
         return not (self._busy or self._queued or self._deaf or self._requests.began)
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether something has come that we have not read yet: a request that a close would lose."""
+        return self._polls(select.POLLIN)
+
+    @property
+    def has_left(self) -> bool:
+        """Whether the client has ended the connection, be it behind bytes that we have not read yet."""
+        return self._polls(_ENDED)
+
+    def _polls(self, events: int) -> bool:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return False
+        return _ready(transport.get_extra_info("socket"), events)
+
     @property
     def owed(self) -> int:
         """Bytes of its last answer that the system has not taken yet."""
@@ -298,7 +340,7 @@
             raise BadMessageError(HTTPStatus.BAD_REQUEST, "the id is in use")
         self._id = name
         self._front.open_ids.add(name)
-        request = self._front.gateway.take(asked, self._reply)
+        request = self._front.gateway.take(asked, self._reply, lambda: self.has_left)
         if self._busy:  # it may have its answer already
             self._request = request
 
@@ -315,7 +357,7 @@
             return
         self._busy, self._request = False, None
         self._free_id()
-        self._close = self._close or self._front.stopping
+        self._close = self._close or (self._front.stopping and not self._goes_on())
         self._close = self._close and not self._crowded
         self._write(answer)
         if self._crowded:
@@ -329,6 +371,10 @@
         if self._queued:
             self._loop.call_soon(self._next)
 
+    def _goes_on(self) -> bool:
+        """Whether another request has come behind this one, whole or in part: to close would lose it."""
+        return bool(self._queued) or self._requests.began or self.has_unread
+
     def _write(self, answer: Answer) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(write_answer(answer.status, answer.headers, answer.body, self._close))
@@ -337,7 +383,7 @@
         """It has waited long enough: for a request, the rest of one, or its last answer to be read."""
         if self._requests.began and not self._deaf:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
-        else:
+        elif self._deaf or self.owed or not self.has_unread:  # else it is read in this turn of the loop
             self.drop()
 
     def drop(self) -> None:
@@ -347,12 +393,18 @@
             self._transport.abort()
 
     def close_if_idle(self) -> None:
-        """Close it if it is between requests; one that has begun to come is still taken."""
-        if not self.idle or self._transport is None:
+        """Close it if it is between requests; one that has begun to come, read or not, is still taken."""
+        if not self.idle or self.has_unread or self._transport is None:
             return
         self._deaf = True
         self._transport.close()
 
+    def eof_received(self) -> None:
+        """The client has gone, though its connection may stay for answers that nobody reads."""
+        self._end_request()
+        self._stop_reading()
+        self._wait(LINGER)
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._front.connections.discard(self)
         self._front.waiting.pop(self, None)
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from whinrouter.balance import Balancer
 from whinrouter.interface import (
@@ -75,6 +76,7 @@
 
     asked: Asked
     reply: Callable[[Answer], None] | None  # None once the final answer is given, or the client gone
+    left: Callable[[], bool]
     deadline: int
     timer: asyncio.TimerHandle | None = None
     sent: list[_Sent] = field(default_factory=list)
@@ -109,16 +111,22 @@
 
     def list_hosts(self, told: HostList, stale: bool = False) -> None:
         whole = told.complete or stale
-        self._upstream.update(told.members, whole)
         update = Update.STALE if stale else Update.FULL if whole else Update.CHANGES
         self.has_list = self.has_list or bool(told.members)
+        # The module first: what can't be sent to a host that leaves would go to another that does.
         self._feed(ServerList(update, tuple(member.server for member in told.members)))
+        self._upstream.update(told.members, whole)
+
+    def take(
+        self, asked: Asked, reply: Callable[[Answer], None], left: Callable[[], bool] = lambda: False
+    ) -> RequestId:
+        """A client asks; `reply` is called exactly once, unless it leaves.
 
-    def take(self, asked: Asked, reply: Callable[[Answer], None]) -> RequestId:
-        """A client asks; `reply` is called exactly once, unless it leaves."""
+        `left` tells whether it has gone without our having been told of it yet.
+        """
         self._last += 1
         timeout = max(1, asked.timeout - MARGIN)
-        held = _Held(asked, reply, self._clock.now() + timeout)
+        held = _Held(asked, reply, left, self._clock.now() + timeout)
         self._held[self._last] = held
         held.timer = self._loop.call_later(timeout / SECOND, self._expire, self._last)
         request = self._last
@@ -196,7 +204,8 @@
         attempt = None
         if held.reply is not None and until > now:  # no attempt leaves after the final answer
             due = self._loop.time() + (until - now) / SECOND
-            attempt = self._upstream.send(server, held.asked.message, due, ended)
+            wanted = partial(self._wanted, request)
+            attempt = self._upstream.send(server, held.asked.message, due, ended, wanted)
         if attempt is None:
             self._ended(request, number, Outcome.NOT_SENT, None)
         elif not sent.over:
@@ -204,6 +213,13 @@
             if until < held.deadline:
                 self._loop.call_later((until - now) / SECOND, _time_out, attempt)
 
+    def _wanted(self, request: RequestId) -> bool:
+        """Asked right before a request is written: a loop that runs late learns of its client's end late."""
+        held = self._held.get(request)
+        if held is not None and held.reply is not None and held.left():
+            self.leave(request)
+        return held is not None and held.reply is not None
+
     def _ended(self, request: RequestId, number: int, outcome: Outcome, answer: Message | None) -> None:
         held = self._held[request]
         sent = held.sent[number]
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -16,6 +16,10 @@
 
 IDLE_MARGIN = 2.0  # seconds before the host's own limit at which an idle connection is dropped
 
+# Seconds for which a connection is left alone after an answer. A host may send a second one some milliseconds
+# late, and an answer doesn't say which request it is for: it would be taken for the next one's.
+SETTLE_TIME = 0.01
+
 Ended = Callable[["Attempt", Outcome, Message | None], None]
 
 
@@ -30,9 +34,12 @@
 class Attempt:
     """One sending of a request to a host; it ends exactly once."""
 
-    def __init__(self, host: _Host, request: Message, expires: float, ended: Ended) -> None:
+    def __init__(
+        self, host: _Host, request: Message, expires: float, ended: Ended, wanted: Callable[[], bool]
+    ) -> None:
         self.host = host
         self.expires = expires  # loop time
+        self.wanted = wanted  # whether its client still waits, as far as its connection tells by now
         self._request = request
         self._ended: Ended | None = ended
         self.connection: _Connection | None = None
@@ -105,6 +112,10 @@
 
     def carry(self, attempt: Attempt) -> None:
         assert self._transport is not None
+        if not attempt.wanted():
+            self._rest()
+            attempt.stop(Outcome.CANCELLED)
+            return
         if self._expiry is not None:
             self._expiry.cancel()
             self._expiry = None
@@ -146,8 +157,9 @@
 
     def _rest(self) -> None:
         """Idle until the next attempt, but not until the host closes it: a request could cross that."""
-        self.idle_since = self._loop.time()
-        self._expiry = self._loop.call_later(self._pool.idle_time, self.drop)
+        if self._expiry is None:
+            self.idle_since = self._loop.time()
+            self._expiry = self._loop.call_later(self._pool.idle_time, self.drop)
         self._host.idle.append(self)
 
     def eof_received(self) -> None:
@@ -229,12 +241,19 @@
         for attempt in list(host.connecting):
             attempt.stop(Outcome.NOT_SENT)
 
-    def send(self, server: ServerId, request: Message, expires: float, ended: Ended) -> Attempt | None:
+    def send(
+        self,
+        server: ServerId,
+        request: Message,
+        expires: float,
+        ended: Ended,
+        wanted: Callable[[], bool] = lambda: True,
+    ) -> Attempt | None:
         """Start an attempt; None if the host may not be sent to. It may end before this returns."""
         host = self._hosts.get(server)
         if host is None:
             return None
-        attempt = Attempt(host, request, expires, ended)
+        attempt = Attempt(host, request, expires, ended, wanted)
         connection = self._idle(host)
         if connection is not None:
             connection.carry(attempt)
@@ -250,8 +269,11 @@
 
     def _idle(self, host: _Host) -> _Connection | None:
         """The latest used: the longer one has stood idle, the likelier its host has closed it."""
-        while host.idle:
-            connection = host.idle.pop()
+        settled = asyncio.get_running_loop().time() - SETTLE_TIME
+        for connection in reversed(host.idle.copy()):
+            if connection.idle_since > settled:
+                continue
+            host.idle.remove(connection)
             if connection.quiet():
                 return connection
             connection.drop()
