Call discovery in turns again once it has turned a call away

A call that was turned away now makes its source a shared one, with pauses as where lists are asked for, until it answers with a list; and a start does not wait for more. Test: a call turned away, then a broken watch.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -208,10 +208,10 @@
     for seed in range(callers):
         watch = Discovery(("127.0.0.1", 1), 0, lambda _: None, asked_by(callers))
         watch._random = Random(seed)
-        now = watch._next_pause()
+        now = watch._next_pause(True)
         while now < end:
             calls += 1
-            now += watch._next_pause()
+            now += watch._next_pause(True)
     assert calls * discovery.CALL_TIME < end
 
 
@@ -220,7 +220,7 @@
     for seed in range(40):
         watch = Discovery(("127.0.0.1", 1), 0, lambda _: None, asked_by(40))
         watch._random = Random(seed)
-        backs.append(watch._next_pause())
+        backs.append(watch._next_pause(True))
     assert max(sum(begin <= back < begin + 1 for back in backs) for begin in range(8)) <= 10
     assert max(backs) <= 40 * discovery.CALL_TIME
 
@@ -245,7 +245,7 @@
         watch = Discovery(("127.0.0.1", service.port), 41, lists.append, PUSHED)
         pauses: list[float] = []
         next_pause = watch._next_pause
-        watch._next_pause = lambda: pauses.append(next_pause()) or pauses[-1]  # type: ignore[method-assign,func-returns-value]
+        watch._next_pause = lambda shared: pauses.append(next_pause(shared)) or pauses[-1]  # type: ignore[method-assign,func-returns-value]
         watch.start()
         await until(lambda: lists and lists[-1].revision == 43)
         watch.stop()
@@ -347,3 +347,28 @@
         await until(lambda: between.connections == between.closed)
         assert not between.requests
         watch.stop()
+
+
+@scenario
+async def test_where_a_call_is_turned_away_the_calls_of_all_gateways_come_in_turns() -> None:
+    """It is no agent of our own, but one service that is overbooked: haste would keep it so for good."""
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        if len(service.requests) == 1:
+            writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+        elif len(service.requests) == 2:
+            writer.write(HEAD + chunk(line(42)))
+            reset(writer)
+        else:
+            writer.write(HEAD)
+
+    async with peers(script) as (service,):
+        lists: list[HostList] = []
+        watch = Discovery(("127.0.0.1", service.port), 41, lists.append, PUSHED)
+        asked: list[bool] = []
+        watch._next_pause = lambda shared: asked.append(shared) or 0.0  # type: ignore[method-assign,func-returns-value]
+        watch.start()
+        await until(lambda: len(service.requests) == 3)
+        watch.stop()
+        assert watch.heard.is_set()
+        assert asked == [True, False]  # once it has answered, its agent's pace is right again
--- a/whinrouter/__main__.py
+++ b/whinrouter/__main__.py
@@ -55,8 +55,8 @@
     if early:
         reload_file()
     if not config.settings.must_subscribe:
-        await _any_of(FIRST_LIST_TIME, discovery.told, stop)
-        if not discovery.told.is_set():
+        await _any_of(FIRST_LIST_TIME, discovery.heard, stop)
+        if not discovery.heard.is_set():
             log.warning("discovery has said nothing yet; going on with the list of the last run")
     port = await frontend.listen(listener)
     lag = loop.create_task(_watch_lag())
--- a/whinrouter/net/discovery.py
+++ b/whinrouter/net/discovery.py
@@ -86,6 +86,7 @@
     address: Address
     revision: int
     watch: _Watching | None = None  # the call that is followed: the first that was answered
+    shared: bool = False  # one service answers all gateways: it has to be asked, or has turned a call away
 
 
 class _Watching(asyncio.Protocol):
@@ -126,6 +127,7 @@
 
     def on_headers_complete(self) -> None:
         if self._parser.get_status_code() != 200:
+            self._owner.turned_away(self._source)
             raise ValueError(f"discovery answered {self._parser.get_status_code()}")
         if not self._owner.follows(self._source, self):
             self.end("another call is followed")
@@ -170,16 +172,16 @@
         take: Callable[[HostList], None],
         settings: Settings | None = None,
     ) -> None:
-        self._source = _Source(address, revision)
-        self._take = take
         self._asked = settings is not None and settings.must_subscribe
+        self._source = _Source(address, revision, shared=self._asked)
+        self._take = take
         grace = settings.drain_grace / SECOND if settings is not None else 0.0
         self._again = min(MOST_AGAIN, max(LEAST_AGAIN, AGAIN_PART * grace))
         self._turn = (settings.balancers if settings is not None else 1) * CALL_TIME
         self._random = Random()
         self._pause = self._turn
         self._task: asyncio.Task[None] | None = None
-        self.told = asyncio.Event()  # a list has come since the start
+        self.heard = asyncio.Event()  # a list has come since the start, or word that none will at once
 
     def start(self) -> None:
         self._task = asyncio.get_running_loop().create_task(self._run(self._source))
@@ -191,7 +193,7 @@
     def move(self, address: Address) -> None:
         """Watch another service, from its whole list on."""
         self.stop()
-        self._source, self._pause = _Source(address, 0), self._turn
+        self._source, self._pause = _Source(address, 0, shared=self._asked), self._turn
         self.start()
 
     async def _run(self, source: _Source) -> None:
@@ -205,11 +207,11 @@
                 if source.watch is not None:
                     source.watch.end("stopped")
                 source.watch = None
-            await asyncio.sleep(self._next_pause())
+            await asyncio.sleep(self._next_pause(source.shared))
 
-    def _next_pause(self) -> float:
+    def _next_pause(self, shared: bool) -> float:
         """Seconds until the next call; where all gateways ask one service, any time that gives all a turn."""
-        if not self._asked:
+        if not shared:
             return self._again
         pause = self._pause * self._random.uniform(0.1, 1)
         self._pause = min(2 * self._pause, max(2 * self._turn, LONGEST_PAUSE))
@@ -226,14 +228,14 @@
                 calls.append(asyncio.create_task(self._call(source)))
                 await asyncio.wait(
                     calls,
-                    timeout=None if self._asked else self._again,
+                    timeout=None if source.shared else self._again,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 ended = [call for call in calls if call.done()]
                 for call in ended:
                     call.result()
                 if ended and source.watch is None:
-                    await asyncio.sleep(self._next_pause())
+                    await asyncio.sleep(self._next_pause(source.shared))
             return source.watch
         finally:
             for call in calls:
@@ -262,10 +264,16 @@
             source.watch = watch
         return source is self._source and source.watch is watch
 
+    def turned_away(self, source: _Source) -> None:
+        """No agent of our own would: calls at its pace would keep an overbooked service so for good."""
+        source.shared = True
+        if source is self._source:
+            self.heard.set()
+
     def hear(self, text: bytes) -> None:
         # Raises on a bad text, which ends the watch: what it held would be missing from the list for good.
         told = read_list(orjson.loads(text))
         self._take(told)
-        self._source.revision = told.revision
+        self._source.revision, self._source.shared = told.revision, self._asked
         self._pause = self._turn
-        self.told.set()
+        self.heard.set()
