Hold a repeat's last byte to the time in which its class allows the repeat

At fault: balance.py, _may_repeat, which looks at the window when it decides; net/upstream.py, carry, which writes whenever the connection has come up or the host takes the bytes. A first attempt whose connection comes up after its hedge was written is late in the same way. _in_group knew the first unsure attempt only, and took hosts whose cell or zone is not told for one group.

Now a Send bears the moment by which its last byte has to leave, and so do the other attempts of its request that are not written whole. At that moment they are given up as never sent, and the module answers. The last byte of what is no GET is held back until all else has left and the time has been looked at, so that neither a slow host nor a loop that runs late lets it out. What may be repeated where has a module, idempotency.py. A repeat keeps to the groups of all attempts that may have run, as they were and as they are listed.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -59,6 +59,7 @@
     server: ServerId
     at: int
     expires: int = 0
+    last_byte: int = 0
     outcome: Outcome | None = None
 
 
@@ -214,7 +215,10 @@
             here, there = self.listed[action.server], self.listed[unsure[0].server]
             assert kind.scope is not Scope.ZONE or here.zone == there.zone
             assert kind.scope is not Scope.CELL or here.cell == there.cell
-        self.sent.append(Sent(action.request, len(earlier), action.server, self.now, action.expires))
+            assert self.now < action.last_byte <= unsure[0].at + kind.dedup_window
+        self.sent.append(
+            Sent(action.request, len(earlier), action.server, self.now, action.expires, action.last_byte)
+        )
 
     def _check_answer(self, action: Refuse | Fail) -> None:
         assert action.request in self.open, "a second answer"
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -228,10 +228,14 @@
 
 @asynccontextmanager
 async def running(
-    *members: Member, settings: Settings = SETTINGS, idle_time: float = 60.0, limit: int = 100
+    *members: Member,
+    settings: Settings = SETTINGS,
+    idle_time: float = 60.0,
+    limit: int = 100,
+    connect_time: float = 1.0,
 ) -> AsyncIterator[Running]:
     """A gateway in this loop, on a free port, with these hosts on its list."""
-    upstream = Upstream(1.0, idle_time, limit)
+    upstream = Upstream(connect_time, idle_time, limit)
     balancer = Balancer(settings, seed=1)
     gateway = Gateway(balancer, upstream)
     if members:
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -11,9 +11,10 @@
 
 from whinrouter.breaker import Breaker
 from whinrouter.host import Host
+from whinrouter.idempotency import may_go_to, may_refuse, repeat_by
 from whinrouter.interface import (
     SECOND, Action, Attempt, AttemptEnded, Cancel, Effect, Event, Fail, Outcome, Pending, Refuse, Request,
-    RequestClass, RequestGone, RequestId, Scope, Send, Server, ServerId, ServerList, SetTimer, Settings,
+    RequestClass, RequestGone, RequestId, Send, Server, ServerId, ServerList, SetTimer, Settings,
     State, StreamStarted, Subscribe, TimerFired, Update,
 )  # fmt: skip
 from whinrouter.subset import by_key, subset, weigh
@@ -233,9 +234,7 @@
 
     def _answer(self, pending: Pending) -> list[Action]:
         request = pending.request.id
-        answer = (
-            Refuse(request, self._stay_away(pending.kind)) if self._may_refuse(pending) else Fail(request)
-        )
+        answer = Refuse(request, self._stay_away(pending.kind)) if may_refuse(pending) else Fail(request)
         return [answer, *self._settle(pending)]
 
     def _stay_away(self, kind: RequestClass) -> int:
@@ -249,11 +248,12 @@
     def _send(self, pending: Pending, host: Host, now: int) -> list[Action]:
         token = f"{pending.request.id}:{len(pending.attempts)}"
         trials = host.breaker.start(), host.of(pending.kind).start()
+        by = repeat_by(pending) or 0
         pending.attempts.append(Attempt(host.info, now, *trials))
         host.in_flight += 1
         host.allowance -= self._cost(pending)
         late = max(1, round(LATE * self._expected(pending)))
-        return [Send(pending.request.id, host.info.id), SetTimer(late, token)]
+        return [Send(pending.request.id, host.info.id, last_byte=by), SetTimer(late, token)]
 
     def _choose(self, pending: Pending, now: int) -> Host | None:
         """Two random servers that admit: the less busy first, the other as its fallback."""
@@ -290,7 +290,7 @@
             yield hosts[place]
 
     def _admits(self, host: Host, pending: Pending, now: int) -> bool:
-        if not host.admits(pending.kind, now) or not self._in_group(host.info, pending):
+        if not host.admits(pending.kind, now) or not may_go_to(host.info, pending, self._listed):
             return False
         if self._warmth(host, now) == 1:
             return True
@@ -301,26 +301,12 @@
         """Whether another attempt may start at all."""
         if pending.out and not self._settings.may_hedge:
             return False
-        first = pending.first_unsure
-        if first is None or pending.kind.effect is Effect.IDEMPOTENT:
-            return True
-        return pending.kind.effect is Effect.KEYED and now < first.sent + pending.kind.dedup_window
+        by = repeat_by(pending)
+        return by is None or now < by
 
-    def _in_group(self, server: Server, pending: Pending) -> bool:
-        """A keyed request that may have run stays with the servers that drop its repeats."""
-        first = pending.first_unsure
-        if first is None or pending.kind.effect is not Effect.KEYED or pending.kind.scope is Scope.ALL:
-            return True
-        if pending.kind.scope is Scope.ZONE:
-            return server.zone == first.server.zone
-        return server.cell == first.server.cell
-
-    def _may_refuse(self, pending: Pending) -> bool:
-        """A refusal says that trying again is harmless."""
-        kind = pending.kind
-        if kind.effect is Effect.IDEMPOTENT or pending.first_unsure is None:
-            return True
-        return kind.effect is Effect.KEYED and kind.scope is Scope.ALL
+    def _listed(self, server: ServerId) -> Server | None:
+        host = self._hosts.get(server)
+        return host.info if host is not None else None
 
     def _on_end(self, event: AttemptEnded, now: int) -> list[Action]:
         pending, attempt = self._find(event.request, event.attempt)
--- a/whinrouter/interface.py
+++ b/whinrouter/interface.py
@@ -150,7 +150,7 @@
     state: State = State.READY
     zone: str = ""
     kind: str = ""
-    cell: int = 0
+    cell: int | None = None  # None: not known
     weight: float = 1.0
     started: int = 0  # moment of its latest start; 0: long ago
 
@@ -230,6 +230,9 @@
     request: RequestId
     server: ServerId
     expires: int = 0  # moment at which to give the attempt up; 0: when the client does
+    # Moment before which the last byte of a repeat has to leave, and that of any attempt of its request which
+    # has not left whole by then; 0: none
+    last_byte: int = 0
 
 
 class Cancel(NamedTuple):
@@ -306,7 +309,11 @@
         """The numbers of the attempts that are out."""
         return [number for number, attempt in enumerate(self.attempts) if attempt.outcome is None]
 
+    @property
+    def unsure(self) -> list[Attempt]:
+        """The attempts that may have run."""
+        return [attempt for attempt in self.attempts if attempt.may_have_run]
+
     @property
     def first_unsure(self) -> Attempt | None:
-        """The first attempt that may have run."""
-        return next((attempt for attempt in self.attempts if attempt.may_have_run), None)
+        return next(iter(self.unsure), None)
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections import deque
 from collections.abc import Callable
@@ -173,8 +174,8 @@
 
     def _do(self, action: Action) -> None:
         match action:
-            case Send(request, server, expires):
-                self._send(request, server, expires)
+            case Send(request, server, expires, last_byte):
+                self._send(request, server, expires, last_byte)
             case Cancel(request, number):
                 held = self._held.get(request)
                 attempt = held.sent[number].attempt if held else None
@@ -191,7 +192,7 @@
                 # Subscribe: the watch always runs. This module sends no probes.
                 pass
 
-    def _send(self, request: RequestId, server: ServerId, expires: int) -> None:
+    def _send(self, request: RequestId, server: ServerId, expires: int, last_byte: int) -> None:
         held = self._held[request]
         now = self._clock.now()
         number, sent = len(held.sent), _Sent(server, now)
@@ -205,7 +206,11 @@
         if held.reply is not None and until > now:  # no attempt leaves after the final answer
             due = self._loop.time() + (until - now) / SECOND
             wanted = partial(self._wanted, request)
-            attempt = self._upstream.send(server, held.asked.message, due, ended, wanted)
+            leave_by = self._loop.time() + (last_byte - now) / SECOND if last_byte else math.inf
+            for other in held.sent:
+                if other.attempt is not None:
+                    other.attempt.leave_by(leave_by)
+            attempt = self._upstream.send(server, held.asked.message, due, ended, wanted, leave_by)
         if attempt is None:
             self._ended(request, number, Outcome.NOT_SENT, None)
         elif not sent.over:
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import select
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -37,6 +38,7 @@
     def __init__(
         self, host: _Host, request: Message, expires: float, ended: Ended, wanted: Callable[[], bool]
     ) -> None:
+        self._loop = asyncio.get_running_loop()
         self.host = host
         self.expires = expires  # loop time
         self.wanted = wanted  # whether its client still waits, as far as its connection tells by now
@@ -44,6 +46,10 @@
         self._ended: Ended | None = ended
         self.connection: _Connection | None = None
         self.task: asyncio.Task[None] | None = None
+        self._leaves_by = math.inf  # loop time
+        self._too_late: asyncio.TimerHandle | None = None
+        # A second time may do harm: such a request is no request until it is known to be in time.
+        self.holds_back = request.method != b"GET"
 
     @property
     def over(self) -> bool:
@@ -58,7 +64,26 @@
         left = max(0.0, self.expires - now)
         return write_request(self._request, [(b"x-deadline", b"%.3f" % left)])
 
+    @property
+    def in_time(self) -> bool:
+        return self._loop.time() < self._leaves_by
+
+    def leave_by(self, moment: float) -> None:
+        """Its last byte has to leave before that, or it is given up, whatever takes so long."""
+        if moment >= self._leaves_by or self.over:
+            return
+        if self._too_late is not None:
+            self._too_late.cancel()
+        self._leaves_by = moment
+        self._too_late = self._loop.call_at(moment, self._give_up_unwritten)
+
+    def _give_up_unwritten(self) -> None:
+        if not self.written:
+            self.stop(Outcome.NOT_SENT)
+
     def end(self, outcome: Outcome, answer: Message | None = None) -> None:
+        if self._too_late is not None:
+            self._too_late.cancel()
         ended, self._ended = self._ended, None
         if ended is not None:
             ended(self, outcome, answer)
@@ -90,6 +115,8 @@
         self._expiry: asyncio.TimerHandle | None = None
         self.idle_since = 0.0
         self.written = False
+        self._blocked = False  # the system does not take what was written
+        self._held_back = b""  # the end of the request
 
     @property
     def usable(self) -> bool:
@@ -116,20 +143,42 @@
             self._rest()
             attempt.stop(Outcome.CANCELLED)
             return
+        if not attempt.in_time:
+            self._rest()
+            attempt.stop(Outcome.NOT_SENT)
+            return
         if self._expiry is not None:
             self._expiry.cancel()
             self._expiry = None
         self._attempt, attempt.connection = attempt, self
-        self.written = True  # pause_writing takes it back at once if not all of it leaves
-        self._transport.write(attempt.text(self._loop.time()))
-        if self._transport.is_closing():  # the write failed outright: not one byte left
-            self.written = False
+        text = attempt.text(self._loop.time())
+        whole = len(text) - attempt.holds_back
+        self.written, self._held_back = False, text[whole:]
+        self._transport.write(text[:whole])
+        if not self._blocked:
+            self._finish(attempt)
+
+    def _finish(self, attempt: Attempt) -> None:
+        """All else has left: so does what was held back, if that is still in time and wanted."""
+        assert self._transport is not None
+        if self._transport.is_closing():  # the write failed: something of the request is still here
+            return
+        if self._held_back and not (attempt.in_time and attempt.wanted()):
+            attempt.stop(Outcome.NOT_SENT)
+            return
+        held_back, self._held_back = self._held_back, b""
+        self.written = True  # pause_writing takes it back at once if it doesn't leave
+        if held_back:
+            self._transport.write(held_back)
+            self.written = self.written and not self._transport.is_closing()
 
     def pause_writing(self) -> None:
-        self.written = False
+        self._blocked, self.written = True, False
 
     def resume_writing(self) -> None:
-        self.written = True
+        self._blocked = False
+        if self._attempt is not None:
+            self._finish(self._attempt)
 
     def received(self, data: memoryview) -> None:
         if self._attempt is None:  # bytes that nobody asked for would be taken for the next answer
@@ -248,12 +297,14 @@
         expires: float,
         ended: Ended,
         wanted: Callable[[], bool] = lambda: True,
+        leave_by: float = math.inf,
     ) -> Attempt | None:
         """Start an attempt; None if the host may not be sent to. It may end before this returns."""
         host = self._hosts.get(server)
         if host is None:
             return None
         attempt = Attempt(host, request, expires, ended, wanted)
+        attempt.leave_by(leave_by)
         connection = self._idle(host)
         if connection is not None:
             connection.carry(attempt)
--- a/whinrouter/wire.py
+++ b/whinrouter/wire.py
@@ -113,7 +113,7 @@
         state=_STATES.get(entry.get("stageState") or "", State.DRAINING),
         zone=str(entry.get("regionPart") or ""),
         kind=str(entry.get("sku") or ""),
-        cell=int(entry.get("group") or 0),
+        cell=None if entry.get("group") is None else int(entry["group"]),
         weight=float(entry.get("rating") or 1.0),
         started=int(entry.get("readyAt") or 0),
     )
