Take no late refusal for another request's verdict; end an attempt before the next leaves

Seen, by forced order on real connections, not in plays: a connection that bore X-Not-Run is used again 10 ms later; were the refusal told once more, the next request on it, unsafe or not, would move on although it runs. And a broken attempt's connection closes one turn of the loop after the next attempt may have left: where no second copies are allowed, that is one.

At fault: net/upstream.py, _idle, which tells no connection from another; drop, which leaves the close to the transport. Now what is not safe to repeat goes over no connection whose latest answer was a refusal, and an attempt that is given up ends its sending at once. Safe requests use such connections as before.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
 import socket
 import time
 from collections.abc import Callable
@@ -15,6 +17,7 @@
 from tests.helpers import Driver
 from tests.peers import (
     GENEROUS,
+    READ,
     Client,
     Peer,
     Running,
@@ -28,10 +31,10 @@
     until,
 )
 from whinrouter.interface import MS, Effect, Outcome, RequestClass, Scope, Server, Settings, Update
+from whinrouter.net import upstream
 from whinrouter.net.http import Message
-from whinrouter.net.upstream import Upstream
 
-from .test_upstream import HOST, Sender
+from .test_upstream import HOST, PAGE, Sender
 
 WINDOW = 300 * MS
 ADD = RequestClass("chapter-add", 400 * MS, 20_000 * MS, Effect.KEYED, Scope.CELL, WINDOW)
@@ -39,6 +42,9 @@
 SETTINGS = Settings((ADD, ADD_ANYWHERE), max_attempts=5, may_hedge=True, may_cancel=True)
 
 
+POST = Message(b"POST", b"/chapter-add", headers=[(b"x-request-id", b"1")], body=b"text")
+
+
 class HeldUp:
     """Connections to these hosts come up only once they may."""
 
@@ -192,8 +198,7 @@
 
         loop.create_connection = narrow  # type: ignore[method-assign, assignment]
         message = Message(b"POST", b"/chapter-add", headers=[(b"x-request-id", b"1")], body=bytes(size))
-        upstream: Upstream = self.sender.upstream
-        upstream.send(HOST, message, loop.time() + 30, self.sender._ended, leave_by=leave_by)
+        self.sender.upstream.send(HOST, message, loop.time() + 30, self.sender._ended, leave_by=leave_by)
         host, _ = await loop.sock_accept(self.listener)
         return host
 
@@ -243,14 +248,74 @@
     assert stuck.sender.ends == [(Outcome.NOT_SENT, None)]
 
 
+@scenario
+async def test_a_refusal_that_comes_twice_is_no_verdict_on_the_next_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It says that nothing ran; by it, what must not run twice would be sent to another host."""
+    monkeypatch.setattr(upstream, "SETTLE_TIME", 0.0)
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        await says(503, X_Not_Run="1")(request, writer) if writer is host.askers[0] else None
+        await says()(request, writer)  # behind a refusal that was told anew, it runs all the same
+
+    async with peers(says(503, X_Not_Run="1")) as (host,):
+        sender = Sender(host.port)
+        assert await sender.outcome(POST) is Outcome.REJECTED
+        host.script = script
+        assert await sender.outcome(POST) is Outcome.OK
+        assert host.connections == 2
+
+
+@scenario
+async def test_a_connection_that_bore_a_refusal_still_carries_what_is_safe() -> None:
+    async with peers(says(503, X_Not_Run="1")) as (host,):
+        sender = Sender(host.port)
+        assert [await sender.outcome(PAGE) for _ in range(3)] == [Outcome.REJECTED] * 3
+        assert host.connections == 1
+
+
+@scenario
+async def test_an_attempt_is_at_its_end_before_another_leaves(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its host keeps its own end open: where no second copies are allowed, this would be one."""
+
+    async def nonsense(request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"what?\r\n\r\n")
+
+    settings = Settings((READ,), max_attempts=5, may_cancel=True)
+    async with (
+        peers(says(), says()) as hosts,
+        running(*(host.member() for host in hosts), settings=settings) as proxy,
+    ):
+        while not all(host.requests for host in hosts):
+            assert (await proxy.ask()).status == 200
+        for host in hosts:
+            host.requests.clear()
+            for idle in proxy.upstream._hosts[host.member().server.id].idle:
+                idle.idle_since = 0.0
+        prefer(proxy, *hosts)
+        hosts[0].script = nonsense
+        carry, ended = upstream._Connection.carry, []
+
+        def carried(connection: upstream._Connection, attempt: upstream.Attempt) -> None:
+            other = socket.socket(fileno=os.dup(hosts[0].writers[0].get_extra_info("socket").fileno()))
+            with other, contextlib.suppress(BlockingIOError):
+                ended.append(other.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+            carry(connection, attempt)
+
+        monkeypatch.setattr(upstream._Connection, "carry", carried)
+        assert (await proxy.ask()).status == 200
+        assert [len(host.requests) for host in hosts] == [1, 1]
+        assert ended == [b""]
+
+
 @scenario
 async def test_a_request_is_whole_only_with_its_last_byte() -> None:
     """Two writes, but no more: small ones are not held back by the system."""
     async with peers(says()) as (host,):
         sender = Sender(host.port)
-        message = Message(b"POST", b"/chapter-add", headers=[(b"x-request-id", b"1")], body=b"text")
-        assert await sender.outcome(message) is Outcome.OK
-        assert host.requests[0].body == b"text"
+        assert await sender.outcome(POST) is Outcome.OK
+        assert host.requests[0].body == POST.body
 
 
 # What the module allows
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import math
 import select
+import socket
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -48,8 +50,7 @@
         self.task: asyncio.Task[None] | None = None
         self._leaves_by = math.inf  # loop time
         self._too_late: asyncio.TimerHandle | None = None
-        # A second time may do harm: such a request is no request until it is known to be in time.
-        self.holds_back = request.method != b"GET"
+        self.safe = request.method == b"GET"  # a second time does no harm
 
     @property
     def over(self) -> bool:
@@ -117,6 +118,7 @@
         self.written = False
         self._blocked = False  # the system does not take what was written
         self._held_back = b""  # the end of the request
+        self.refused = False  # by the latest answer
 
     @property
     def usable(self) -> bool:
@@ -152,7 +154,7 @@
             self._expiry = None
         self._attempt, attempt.connection = attempt, self
         text = attempt.text(self._loop.time())
-        whole = len(text) - attempt.holds_back
+        whole = len(text) if attempt.safe else len(text) - 1  # until it is known to leave in time
         self.written, self._held_back = False, text[whole:]
         self._transport.write(text[:whole])
         if not self._blocked:
@@ -198,11 +200,13 @@
         attempt, self._attempt = self._attempt, None
         assert attempt is not None
         attempt.connection = None
+        outcome = _outcome(answer)
+        self.refused = outcome is Outcome.REJECTED
         if answer.keep_alive and clean and self._host.ready and self.usable:
             self._rest()
         else:
             self.drop()
-        attempt.end(_outcome(answer), answer)
+        attempt.end(outcome, answer)
 
     def _rest(self) -> None:
         """Idle until the next attempt, but not until the host closes it: a request could cross that."""
@@ -220,8 +224,7 @@
         self._answers.close()
 
     def _break(self) -> None:
-        attempt, self._attempt = self._attempt, None
-        written = self.written
+        attempt, written = self._attempt, self.written
         self.drop()
         if attempt is not None:
             attempt.connection = None
@@ -229,6 +232,10 @@
             attempt.end(Outcome.RESET if written else Outcome.CONNECT_FAILED)
 
     def drop(self) -> None:
+        if self._attempt is not None and self._transport is not None:
+            # The transport closes a turn of the loop later, when another attempt may have left already.
+            with contextlib.suppress(OSError):
+                self._transport.get_extra_info("socket").shutdown(socket.SHUT_WR)
         self._attempt = None
         if self._expiry is not None:
             self._expiry.cancel()
@@ -305,7 +312,7 @@
             return None
         attempt = Attempt(host, request, expires, ended, wanted)
         attempt.leave_by(leave_by)
-        connection = self._idle(host)
+        connection = self._idle(host, attempt)
         if connection is not None:
             connection.carry(attempt)
             return attempt
@@ -318,11 +325,14 @@
         attempt.task.add_done_callback(lambda _: self._connected(host, attempt))
         return attempt
 
-    def _idle(self, host: _Host) -> _Connection | None:
-        """The latest used: the longer one has stood idle, the likelier its host has closed it."""
+    def _idle(self, host: _Host, attempt: Attempt) -> _Connection | None:
+        """The latest used: the longer one has stood idle, the likelier its host has closed it.
+
+        One that bore a refusal could bear it once more, and what must not run twice would move on by that.
+        """
         settled = asyncio.get_running_loop().time() - SETTLE_TIME
         for connection in reversed(host.idle.copy()):
-            if connection.idle_since > settled:
+            if connection.idle_since > settled or (connection.refused and not attempt.safe):
                 continue
             host.idle.remove(connection)
             if connection.quiet():
