Give each gateway a turn within 5 s where one service answers the lists all ask for

The old pause of 0.2 s for each gateway left it idle: some had their watch back 16 s after its return (40 s at 200 gateways). Ruled out: calling again at once.

At fault: net/discovery.py, _next_pause and CALL_TIME, a guess that did not follow the fleet. Now each gateway calls at its own place, by its number, in rounds of 5 s of the clock that all machines share, its first call and the first to a new service too. Refusals at once tell of too many calls: then it calls in one of several rounds. A watch counts as silent after 2.5 s, not 3: where all fall silent, the time to have them back is short.

The two tests of the old pause are replaced by tests of the turns at up to 1,024 gateways: they asked that a fleet of any size make no more than five calls a second, which the new term of 6 s forbids. Loses: a restarted gateway serves on its last list for up to 5 s where lists are asked for.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import select
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
-from random import Random
 
 import orjson
 import pytest
@@ -201,28 +201,69 @@
     return replace(SETTINGS, balancers=callers, must_subscribe=True)
 
 
-@pytest.mark.parametrize("callers", [3, 40, 400])
-def test_callers_that_all_fail_call_no_more_often_than_one_service_can_answer(callers: int) -> None:
-    """Forty gateways, each calling every second or two, were all turned away for the rest of the day."""
-    calls, end = 0, 600.0
-    for seed in range(callers):
-        watch = Discovery(("127.0.0.1", 1), 0, lambda _: None, asked_by(callers))
-        watch._random = Random(seed)
-        now = watch._next_pause(True)
-        while now < end:
-            calls += 1
-            now += watch._next_pause(True)
-    assert calls * discovery.CALL_TIME < end
+def turns(callers: int, now: float, rounds: int = 1) -> list[float]:
+    """When each gateway of a fleet calls next, by the clock that all machines share."""
+    source = discovery._Source(("127.0.0.1", 1), 0, shared=True, rounds=rounds)
+    settings = (replace(asked_by(callers), rank=rank) for rank in range(callers))
+    fleet = [Discovery(("127.0.0.1", 1), 0, lambda _: None, its) for its in settings]
+    return [now + watch._next_pause(source) for watch in fleet]
 
 
-def test_callers_that_lost_their_watch_together_come_back_one_by_one() -> None:
-    backs = []
-    for seed in range(40):
-        watch = Discovery(("127.0.0.1", 1), 0, lambda _: None, asked_by(40))
-        watch._random = Random(seed)
-        backs.append(watch._next_pause(True))
-    assert max(sum(begin <= back < begin + 1 for back in backs) for begin in range(8)) <= 10
-    assert max(backs) <= 40 * discovery.CALL_TIME
+@pytest.mark.parametrize("now", [1_800_000_000.0, 1_800_000_003.21])
+@pytest.mark.parametrize("callers", [3, 40, 230, 1024])
+def test_all_gateways_have_a_turn_in_each_round_and_no_two_at_once(
+    monkeypatch: pytest.MonkeyPatch, callers: int, now: float
+) -> None:
+    """What discovery has counts as told 6 s after it can be reached; called by all at once it answers nobody.
+
+    On the bench it answered the calls of its whole fleet in 3 to 8 s, at 60 gateways as at 200.
+    """
+    monkeypatch.setattr("time.time", lambda: now)
+    calls = sorted(turns(callers, now))
+    assert calls[-1] < now + discovery.ROUND <= now + 5
+    gaps = [after - before for before, after in itertools.pairwise(calls)]
+    assert min(gaps) > 0.99 * discovery.ROUND / callers
+
+
+def test_callers_that_are_refused_at_once_leave_the_service_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It can't answer a round's calls: of several rounds each gateway calls in one."""
+    monkeypatch.setattr("time.time", lambda: 1_800_000_000.0)
+    calls = turns(230, 0.0, rounds=discovery.MOST_ROUNDS)
+    begins = [round_ * discovery.ROUND for round_ in range(discovery.MOST_ROUNDS)]
+    most = max(sum(begin <= call < begin + discovery.ROUND for call in calls) for begin in begins)
+    assert most < 3 * 230 / discovery.MOST_ROUNDS
+
+
+@scenario
+async def test_only_refusals_at_once_tell_of_too_many_calls(monkeypatch: pytest.MonkeyPatch) -> None:
+    """While discovery is down a call waits in vain for long; once it is back, all are due in one round."""
+    watch = Discovery(("127.0.0.1", 1), 0, lambda _: None, asked_by(230))
+    rounds = []
+    for waited in (2.0, 0.003, 0.003, 2.0):
+        watch.turned_away(watch._source, waited)
+        rounds.append(watch._source.rounds)
+    assert rounds == [1, 2, 4, 4]
+    watch.hear(line(42))
+    assert watch._source.rounds == 1
+
+
+@pytest.mark.parametrize("moves", [False, True])
+@scenario
+async def test_where_lists_are_asked_for_the_first_call_has_its_turn_too(
+    monkeypatch: pytest.MonkeyPatch, moves: bool
+) -> None:
+    """All gateways are killed at once, or told of another discovery: all of them would call in one moment."""
+    monkeypatch.setattr(discovery, "ROUND", 0.4)
+    monkeypatch.setattr("time.time", lambda: 0.0)
+    async with peers(_says_nothing) as (service,):
+        loop = asyncio.get_running_loop()
+        lists: list[HostList] = []
+        watch = Discovery(("127.0.0.1", service.port), 0, lists.append, replace(asked_by(4), rank=3))
+        began = loop.time()
+        watch.start() if not moves else watch.move(("127.0.0.1", service.port))
+        await until(lambda: service.requests)
+        assert loop.time() - began >= 0.3 - 0.01
+        watch.stop()
 
 
 PUSHED = replace(SETTINGS, balancers=200, drain_grace=250 * MS)
@@ -245,7 +286,7 @@
         watch = Discovery(("127.0.0.1", service.port), 41, lists.append, PUSHED)
         pauses: list[float] = []
         next_pause = watch._next_pause
-        watch._next_pause = lambda shared: pauses.append(next_pause(shared)) or pauses[-1]  # type: ignore[method-assign,func-returns-value]
+        watch._next_pause = lambda source: pauses.append(next_pause(source)) or pauses[-1]  # type: ignore[method-assign,func-returns-value]
         watch.start()
         await until(lambda: lists and lists[-1].revision == 43)
         watch.stop()
@@ -366,7 +407,7 @@
         lists: list[HostList] = []
         watch = Discovery(("127.0.0.1", service.port), 41, lists.append, PUSHED)
         asked: list[bool] = []
-        watch._next_pause = lambda shared: asked.append(shared) or 0.0  # type: ignore[method-assign,func-returns-value]
+        watch._next_pause = lambda source: asked.append(source.shared) or 0.0  # type: ignore[method-assign,func-returns-value]
         watch.start()
         await until(lambda: len(service.requests) == 3)
         watch.stop()
--- a/whinrouter/net/discovery.py
+++ b/whinrouter/net/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from hashlib import blake2b
@@ -21,7 +22,7 @@
 
 # Seconds. While nothing changes an empty line comes every 2 s; what a silent watch misses counts as told
 # after 6 s, and by then a new one must have brought it.
-SILENCE = 3.0
+SILENCE = 2.5
 CONNECT_TIME = 1.0
 ANSWER_TIME = 5.0  # seconds; a service that is asked by all gateways may keep a call waiting
 # Where lists are pushed, an agent on this machine answers at once and at no cost, or not at all. What it has
@@ -30,10 +31,12 @@
 AGAIN_PART = 0.2  # of the drain's grace
 LEAST_AGAIN, MOST_AGAIN = 0.02, 0.5  # seconds: nothing busier than this, and in time for all that is due
 MOST_CALLS = 5  # open at a time; the oldest gives way
-# Seconds of the service that a call may take. One service answers all gateways, call after call, and those
-# that wait too long in vain: called more often than it can answer, it answers nobody.
-CALL_TIME = 0.2
-LONGEST_PAUSE = 2.0  # seconds between calls, unless all gateways need longer for two calls each
+# Seconds within which each gateway has a turn, where one service answers all of them. It answers call after
+# call, and those that wait too long in vain: called more often than it can answer, it answers nobody. So the
+# calls are spread evenly, over as much of the 6 s after which all counts as told as leaves time to answer.
+ROUND = 5.0
+AT_ONCE = 0.5  # seconds; a refusal that comes so soon tells of too many calls, and not of an outage
+MOST_ROUNDS = 16  # of which one is called in, at random, while calls are refused like that
 
 _STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
 
@@ -87,6 +90,7 @@
     revision: int
     watch: _Watching | None = None  # the call that is followed: the first that was answered
     shared: bool = False  # one service answers all gateways: it has to be asked, or has turned a call away
+    rounds: int = 1  # of which one is called in
 
 
 class _Watching(asyncio.Protocol):
@@ -104,13 +108,14 @@
         self._parser = httptools.HttpResponseParser(self)
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
+        self._began = 0.0
         self._silence: asyncio.TimerHandle | None = None
         self.over: asyncio.Future[str] = self._loop.create_future()
         self.answered: asyncio.Future[bool] = self._loop.create_future()  # False if it ended before
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        self._transport, self._began = transport, self._loop.time()
         transport.write(self._request)
         self._wait(ANSWER_TIME)
 
@@ -127,7 +132,7 @@
 
     def on_headers_complete(self) -> None:
         if self._parser.get_status_code() != 200:
-            self._owner.turned_away(self._source)
+            self._owner.turned_away(self._source, self._loop.time() - self._began)
             raise ValueError(f"discovery answered {self._parser.get_status_code()}")
         if not self._owner.follows(self._source, self):
             self.end("another call is followed")
@@ -177,9 +182,8 @@
         self._take = take
         grace = settings.drain_grace / SECOND if settings is not None else 0.0
         self._again = min(MOST_AGAIN, max(LEAST_AGAIN, AGAIN_PART * grace))
-        self._turn = (settings.balancers if settings is not None else 1) * CALL_TIME
+        self._turn = ROUND * settings.rank / settings.balancers if settings is not None else 0.0
         self._random = Random()
-        self._pause = self._turn
         self._task: asyncio.Task[None] | None = None
         self.heard = asyncio.Event()  # a list has come since the start, or word that none will at once
 
@@ -193,10 +197,12 @@
     def move(self, address: Address) -> None:
         """Watch another service, from its whole list on."""
         self.stop()
-        self._source, self._pause = _Source(address, 0, shared=self._asked), self._turn
+        self._source = _Source(address, 0, shared=self._asked)
         self.start()
 
     async def _run(self, source: _Source) -> None:
+        if source.shared:  # whoever starts with us, or moves here with us, would call in this moment too
+            await asyncio.sleep(self._next_pause(source))
         while True:
             try:
                 watch = await self._reach(source)
@@ -207,15 +213,16 @@
                 if source.watch is not None:
                     source.watch.end("stopped")
                 source.watch = None
-            await asyncio.sleep(self._next_pause(source.shared))
+            await asyncio.sleep(self._next_pause(source))
 
-    def _next_pause(self, shared: bool) -> float:
-        """Seconds until the next call; where all gateways ask one service, any time that gives all a turn."""
-        if not shared:
+    def _next_pause(self, source: _Source) -> float:
+        """Seconds until the next call; where all gateways ask one service, until this one's turn.
+
+        They share no more than the clock of all machines, and each knows its number.
+        """
+        if not source.shared:
             return self._again
-        pause = self._pause * self._random.uniform(0.1, 1)
-        self._pause = min(2 * self._pause, max(2 * self._turn, LONGEST_PAUSE))
-        return pause
+        return (self._turn - time.time()) % ROUND + ROUND * self._random.randrange(source.rounds)
 
     async def _reach(self, source: _Source) -> _Watching:
         """Call until the service answers."""
@@ -235,7 +242,7 @@
                 for call in ended:
                     call.result()
                 if ended and source.watch is None:
-                    await asyncio.sleep(self._next_pause(source.shared))
+                    await asyncio.sleep(self._next_pause(source))
             return source.watch
         finally:
             for call in calls:
@@ -264,9 +271,11 @@
             source.watch = watch
         return source is self._source and source.watch is watch
 
-    def turned_away(self, source: _Source) -> None:
+    def turned_away(self, source: _Source, waited: float) -> None:
         """No agent of our own would: calls at its pace would keep an overbooked service so for good."""
         source.shared = True
+        if waited < AT_ONCE:
+            source.rounds = min(2 * source.rounds, MOST_ROUNDS)
         if source is self._source:
             self.heard.set()
 
@@ -274,6 +283,5 @@
         # Raises on a bad text, which ends the watch: what it held would be missing from the list for good.
         told = read_list(orjson.loads(text))
         self._take(told)
-        self._source.revision, self._source.shared = told.revision, self._asked
-        self._pause = self._turn
+        self._source.revision, self._source.shared, self._source.rounds = told.revision, self._asked, 1
         self.heard.set()
