Keep what all balancers together save up for a cold host within its time to fall

Seen in tests of 1 to 100 module instances that add up what each cold server gets, against N + 2 x root of N + 2: with 39 of them, each had saved up one whole request for it (COLD_BURST, "max(rate * COLD_BURST, cost)" in _refill), and all were sent as the other servers left: 7 too many. And when 18 of 20 servers were replaced, what the 20 had done was shared out over the 2 that were left, so that each looked ten times as strong: 22 too many with 6 instances, 5 with 30. Ruled out: steady traffic, even and uneven, and restarts of a quarter of the instances each second stay within it before and after.

At fault: balance.py, _refill and _count. Now work is shared out over the warm servers there are as it is counted; no more is saved up than comes within the time in which the server would fall; and a part of a request counts as a whole one with that chance, so that instances that know the same don't come at the same moment.

Loses: where a balancer draws a cold server more seldom than it would take to fall, part of its share is unused (half, at two requests a second over 20 servers).

--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -35,8 +35,9 @@
 
 RATE_WINDOW = 2 * SECOND  # over which the work that servers did is averaged
 SUM_EVERY = 100_000  # not at every look: with a hundred cold servers that overran the CPU share
-COLD_PART = 0.4  # of what would push a cold server over
-COLD_BURST = 300_000  # a cold server's allowance is saved up for this long at most
+# Of what would push a cold server over. No more is saved up than comes in the time in which it would fall, so
+# that all balancers together never send more than twice this in that time.
+COLD_PART = 0.4
 
 # A time-out is none: the client's own limit cut it short. Being late is judged before, by peers.
 FAILURES = {Outcome.ERROR, Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.UNKNOWN}
@@ -51,11 +52,12 @@
         self._classes = {kind.name: kind for kind in settings.classes}
         self._hosts: dict[ServerId, Host] = {}  # those that may be sent to
         self._pending: dict[RequestId, Pending] = {}
-        self._served: dict[str, float] = {}  # work done by its warm servers of each kind, averaged
+        self._served: dict[str, float] = {}  # work that each warm server of a kind did for it lately
         self._counted = 0
         self._spare = self._most_spare = max(1.0, EXTRA_BURST / settings.balancers)  # extra attempts
-        self._warm: dict[str, float] = {}  # what is meant for the warm servers of its subset, by kind
-        self._full: dict[str, float] = {}  # work that they did lately for that; kept once none is left
+        self._warm: dict[str, float] = {}  # how many warm servers its subset has, by kind, as it uses them
+        self._full: dict[str, float] = {}  # what each of them did lately; kept once none is left
+        self._total = 0.0  # warmth of all servers
         self._summed: int | None = None  # when their warmth was last looked at; None if all are warm
         self._seen: dict[tuple[str, bool], int] = {}  # requests by class, and by whether beyond a share
         self._asked: dict[tuple[str, bool], float] = {}  # work asked for, likewise
@@ -106,13 +108,14 @@
         """What is meant for each server follows the list and, while some are cold, their warmth."""
         hosts = self._hosts.values()
         warmth = {host: self._warmth(host, now) for host in hosts}
+        self._total = sum(warmth.values())
         weigh(warmth, self._settings)
         self._order, self._spill = subset(hosts, self._settings)
         self._warm = {}
         for host in self._order:
             if warmth[host] == 1:
                 kind = host.info.kind
-                self._warm[kind] = self._warm.get(kind, 0.0) + host.weight
+                self._warm[kind] = self._warm.get(kind, 0.0) + host.weight * self._total
         self._summed = now if min(warmth.values(), default=1) < 1 else None
 
     def _warmth(self, host: Host, now: int) -> float:
@@ -124,10 +127,15 @@
         return floor + (1 - floor) * max(0, now - started) / ramp
 
     def _count(self, kind: str, cost: float, now: int) -> None:
-        """Add to the work that servers of a kind did lately."""
+        """Add to the work that warm servers of a kind did lately, for each of those that there are now.
+
+        Shared out later, it would look like more from each one that is left once others have gone.
+        """
+        if kind not in self._warm:
+            return
         kept = max(0.0, 1 - (now - self._counted) / RATE_WINDOW)
         self._served = {name: work * kept for name, work in self._served.items()}
-        self._served[kind] = self._served.get(kind, 0.0) + cost
+        self._served[kind] = self._served.get(kind, 0.0) + cost / self._warm[kind]
         self._counted = now
 
     def _refill(self, host: Host, cost: float, now: int) -> None:
@@ -140,13 +148,17 @@
         """
         kind = host.info.kind
         if kind in self._warm:
-            self._full[kind] = self._served.get(kind, 0.0) / RATE_WINDOW / self._warm[kind]
+            self._full[kind] = self._served.get(kind, 0.0) / RATE_WINDOW
         # A trickle even where nothing is known yet; split, as that of many balancers alone pushed one over.
         trickle = cost / RATE_WINDOW / self._settings.balancers
-        share = host.weight * self._warmth(host, now) * self._settings.fall_multiple * COLD_PART
+        share = host.weight * self._total * self._warmth(host, now) * self._settings.fall_multiple * COLD_PART
         rate = max(self._full.get(kind, 0.0) * share if host.own else 0.0, trickle)
-        host.allowance = min(host.allowance + rate * (now - host.refilled), max(rate * COLD_BURST, cost))
-        host.refilled = now
+        saved = min(host.allowance + rate * (now - host.refilled), rate * self._settings.fall_time)
+        # A part of a request is a whole one with that chance: saved up to whole ones by each of many
+        # balancers, they would all be there, and could all be sent, at the same time.
+        if saved < cost:
+            saved = cost if self._random.random() * cost < saved else 0.0
+        host.allowance, host.refilled = saved, now
 
     def _on_request(self, event: Request, now: int) -> list[Action]:
         kind = self._classes.get(event.class_name)
