--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -273,6 +273,28 @@
         assert host.connections == 2
 
 
+@scenario
+async def test_connections_that_bore_refusals_do_not_pile_up() -> None:
+    async with peers(says(503, X_Not_Run="1")) as (host,):
+        sender = Sender(host.port)
+        for _ in range(5):
+            assert await sender.outcome(POST) is Outcome.REJECTED
+            assert len(sender.upstream._hosts[HOST].idle) == 1
+        assert host.connections == 5
+
+
+@scenario
+async def test_an_attempt_for_which_no_descriptor_is_left_ends_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its time to leave passes after that."""
+    async with peers(says()) as (host,):
+        sender = Sender(host.port, limit=0)
+        loop = asyncio.get_running_loop()
+        leave_by = loop.time() + 0.05
+        assert sender.upstream.send(HOST, POST, loop.time() + 30, sender._ended, leave_by=leave_by) is None
+        await asyncio.sleep(0.1)
+        assert not sender.ends
+
+
 @scenario
 async def test_a_connection_that_bore_a_refusal_still_carries_what_is_safe() -> None:
     async with peers(says(503, X_Not_Run="1")) as (host,):
--- a/whinrouter/net/discovery.py
+++ b/whinrouter/net/discovery.py
@@ -24,7 +24,9 @@
 # after 6 s, and by then a new one must have brought it.
 SILENCE = 2.5
 CONNECT_TIME = 1.0
-ANSWER_TIME = 5.0  # seconds; a service that is asked by all gateways may keep a call waiting
+# Seconds; a service that is asked by all gateways may keep a call waiting, but with the time to connect, one
+# that stays unanswered is over by this gateway's next turn.
+ANSWER_TIME = 4.0
 # Where lists are pushed, an agent on this machine answers at once and at no cost, or not at all. What it has
 # counts as told from the moment at which it has it, so a call comes several times within the time that a
 # drain allows, and doesn't wait for the last one's end: the agent may be back while that stays unanswered.
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -311,14 +311,14 @@
         if host is None:
             return None
         attempt = Attempt(host, request, expires, ended, wanted)
-        attempt.leave_by(leave_by)
         connection = self._idle(host, attempt)
+        if connection is None and self.open >= self._limit and not self._make_room():
+            log.warning("no descriptor is left for another connection")
+            return None
+        attempt.leave_by(leave_by)
         if connection is not None:
             connection.carry(attempt)
             return attempt
-        if self.open >= self._limit and not self._make_room():
-            log.warning("no descriptor is left for another connection")
-            return None
         self._connecting += 1
         host.connecting.add(attempt)
         attempt.task = asyncio.get_running_loop().create_task(self._connect(host, attempt))
@@ -328,16 +328,23 @@
     def _idle(self, host: _Host, attempt: Attempt) -> _Connection | None:
         """The latest used: the longer one has stood idle, the likelier its host has closed it.
 
-        One that bore a refusal could bear it once more, and what must not run twice would move on by that.
+        One that bore a refusal could bear it once more, and what must not run twice would move on by that: it
+        takes a new one instead.
         """
+        refused = None
         settled = asyncio.get_running_loop().time() - SETTLE_TIME
         for connection in reversed(host.idle.copy()):
-            if connection.idle_since > settled or (connection.refused and not attempt.safe):
+            if connection.idle_since > settled:
+                continue
+            if connection.refused and not attempt.safe:
+                refused = connection
                 continue
             host.idle.remove(connection)
             if connection.quiet():
                 return connection
             connection.drop()
+        if refused is not None:
+            refused.drop()
         return None
 
     def _make_room(self) -> bool:
