Bound what cold hosts get by the work of all warm hosts, in a module of its own

Cause: a gateway estimated what one warm host does by dividing the work that the warm hosts of its subset did by the work that was meant for them (`_warm`, `_count` in balance.py). Ruled out: late connects and untold gateways (first attempts of told gateways over connections that were up made the fall).

Change: slow_start.py holds the token buckets of cold hosts. The estimate divides the work of all warm hosts of a flavor by their number (and size, where the list's weights are sizes); a gateway's part for one cold host goes by what would be meant for it if all were warm. What is saved up, and what connects late, is part of the budget by the settings. New: what a cold host has answered is given back, as that is what it can really do. Where no warm host of a flavor is left, a longer average is kept, not the last one.

--- /dev/null
+++ b/tests/test_slow_start.py
@@ -0,0 +1,448 @@
+"""What all balancers together send to servers that have started lately, and how each works out its part."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from whinrouter.breaker import Breaker
+from whinrouter.host import Budget, Host
+from whinrouter.interface import MS, SECOND, Server, Settings
+from whinrouter.slow_start import MEMORY, FlavorLoad, SlowStart
+from whinrouter.subset import subset, weigh
+
+from .fleet import START, Arrival, Fleet, Incarnation, Plan, Window
+from .helpers import CLASSES
+
+BALANCERS = [1, 20, 60, 230]
+PRICE = 0.03
+
+Chooses = Callable[[Server], bool]
+
+
+def cold_settings(
+    fall_multiple: float = 3.0,
+    fall_time: float = 2.0,
+    connect_time: float = 0.5,
+    cold_share: float = 0.15,
+    ramp_time: float = 40.0,
+    cross_zone_price: float = 0.0,
+    weights_are_sizes: bool = False,
+) -> Settings:
+    """Times are in seconds."""
+    return Settings(
+        CLASSES,
+        cold_share=cold_share,
+        ramp_time=round(ramp_time * SECOND),
+        fall_multiple=fall_multiple,
+        fall_time=round(fall_time * SECOND),
+        connect_time=round(connect_time * SECOND),
+        cross_zone_price=cross_zone_price,
+        weights_are_sizes=weights_are_sizes,
+    )
+
+
+def line_up(kinds: Iterable[tuple[str, str, float]]) -> tuple[Server, ...]:
+    """Servers by zone, flavor and size."""
+    return tuple(
+        Server(number, zone=zone, flavor=flavor, weight=size)
+        for number, (zone, flavor, size) in enumerate(kinds, 1)
+    )
+
+
+ALIKE = line_up([("a", "x", 1.0)] * 20)
+ZONES = line_up([(zone, "x", 1.0) for zone in "abcd"] * 3)
+
+
+def heavy(balancers: int, times: float = 6.0, zones: int = 4) -> tuple[float, ...]:
+    """In each zone one balancer in four sees so many times what each other one does."""
+    return tuple(times if rank // zones % 4 == 0 else 1.0 for rank in range(balancers))
+
+
+def heavy_zone(balancers: int, zones: int, times: float) -> tuple[float, ...]:
+    """The balancers of the first zone see so many times what those of the mean zone do."""
+    first, others = times / zones, (1 - times / zones) / (zones - 1)
+    return tuple(others if rank % zones else first for rank in range(balancers))
+
+
+def report(window: Window) -> str:
+    senders = ", ".join(f"{work:.0f} from {rank}" for rank, work in window.senders)
+    return (
+        f"server {window.server} got {window.got:.1f} requests of mean work, stands {window.limit:.1f}"
+        f" (N is {window.budget:.1f}), {window.after:.2f} s after its start; {senders}"
+    )
+
+
+def stands(fleet: Fleet) -> None:
+    """No cold server has got what pushes it over."""
+    worst = fleet.worst()
+    assert worst.excess <= 0, report(worst)
+
+
+def play(plan: Plan, leaves: Chooses, before: float = 5.0, after: float = 6.0) -> tuple[Fleet, list[Server]]:
+    """Some servers are replaced under steady traffic; the fleet afterwards, and the new ones."""
+    fleet = Fleet(plan)
+    fleet.run(before)
+    new = fleet.replace([server for server in fleet.servers if leaves(server)])
+    fleet.run(after)
+    return fleet, new
+
+
+# The case as found
+
+
+@pytest.mark.parametrize("returns", [False, True])
+def test_work_sent_where_nearly_none_is_meant_does_not_swell_the_budgets(returns: bool) -> None:
+    """All of the largest zone starts anew, and its balancers go where next to none of their work is meant.
+
+    What the warm servers there did was divided by the part that was meant for them, one in a hundred.
+    """
+    servers = line_up([("a", "x", 1.0)] * 24 + [(zone, "x", 1.0) for zone in "bcd" for _ in range(4)])
+    settings = cold_settings(fall_multiple=1.5, connect_time=0.25, cold_share=0.2, ramp_time=60)
+    settings = replace(settings, cross_zone_price=PRICE)
+    shares = heavy_zone(100, 4, 24 / 9)  # by the capacity of the zones
+    plan = Plan(100, servers, settings, 50.0, shares=shares, list_delay=SECOND // 2, returns=returns)
+    fleet, new = play(plan, lambda server: server.zone == "a", after=4)
+    stands(fleet)
+    assert fleet.used(new) > 0.2
+
+
+# The sum over all balancers
+
+
+@pytest.mark.parametrize("returns", [False, True])
+@pytest.mark.parametrize("balancers", BALANCERS)
+def test_all_balancers_together_leave_cold_servers_standing(balancers: int, returns: bool) -> None:
+    """Traffic is uneven, lists and connections come late; the cold servers are used all the same."""
+    settings = cold_settings(connect_time=1.5)
+    plan = Plan(
+        balancers, ALIKE, settings, shares=heavy(balancers), list_delay=3 * SECOND, spread=0.5,
+        returns=returns,
+    )  # fmt: skip
+    fleet, new = play(plan, lambda server: server.id % 5 == 0, after=8)
+    stands(fleet)
+    assert fleet.used(new) > 0.05
+
+
+@pytest.mark.parametrize("balancers", BALANCERS)
+def test_cold_servers_get_a_good_part_of_what_they_can_do(balancers: int) -> None:
+    """The warm ones are asked for three fifths; a request each fall time would be one in twenty."""
+    fleet, new = play(Plan(balancers, ALIKE, cold_settings(), 60.0), lambda server: server.id % 5 == 0)
+    stands(fleet)
+    assert fleet.used(new) > 0.2
+
+
+@pytest.mark.parametrize("balancers", BALANCERS)
+def test_restarts_of_balancers_leave_cold_servers_standing(balancers: int) -> None:
+    """Each second one in four starts anew, some of them with a list from before the change."""
+    fleet, new = play(
+        Plan(balancers, ALIKE, cold_settings(), list_delay=SECOND, returns=False),
+        lambda server: server.id % 5 == 0,
+        after=1,
+    )
+    for second in range(5):
+        for rank in range(second % 4, balancers, 4):
+            fleet.restart_balancer(rank, versions_back=rank // 4 % 2)
+        fleet.run(1)
+    stands(fleet)
+    assert fleet.used(new) > 0
+
+
+@pytest.mark.parametrize("balancers", BALANCERS)
+def test_servers_that_start_again_under_their_ids_stand(balancers: int) -> None:
+    """Some twice, while balancers still hear of the first time."""
+    fleet = Fleet(Plan(balancers, ALIKE, cold_settings(), list_delay=4 * SECOND, returns=False))
+    fleet.run(5)
+    fleet.restart(ALIKE[:6])
+    fleet.run(3)
+    fleet.restart(ALIKE[4:8])
+    fleet.run(5)
+    stands(fleet)
+
+
+@pytest.mark.parametrize("told", [False, True])
+@pytest.mark.parametrize("balancers", BALANCERS)
+def test_sizes_that_differ_within_a_flavor_leave_the_small_ones_standing(balancers: int, told: bool) -> None:
+    """Also where balancers can't tell the sizes."""
+    sizes = [0.5, 1.0, 1.0, 1.5] if not told else [0.5, 1.0, 2.0, 4.0]
+    servers = line_up([("a", "x", size) for size in sizes * 5])
+    settings = cold_settings(weights_are_sizes=told)
+    plan = Plan(balancers, servers, settings, returns=False, list_delay=SECOND)
+    fleet, new = play(plan, lambda server: server.id <= 4)
+    stands(fleet)
+    assert fleet.used(new) > 0.05
+
+
+@pytest.mark.parametrize("at_once", [False, True])
+@pytest.mark.parametrize("balancers", BALANCERS)
+def test_a_flavor_without_a_warm_server_stands(balancers: int, at_once: bool) -> None:
+    """As its servers leave one by one, the last are all that a few balancers see of it."""
+    servers = line_up([("a", flavor, 1.0) for flavor in "xxxy" * 5])
+    plan = Plan(balancers, servers, cold_settings(), list_delay=2 * SECOND, returns=False)
+    fleet = Fleet(plan)
+    fleet.run(5)
+    leaving = [server for server in servers if server.flavor == "y"]
+    if at_once:
+        fleet.replace(leaving)
+    else:
+        for server in leaving:
+            fleet.replace([server])
+            fleet.run(0.7)
+    fleet.run(5)
+    stands(fleet)
+    assert fleet.used([server for server in fleet.servers if server.flavor == "y"]) > 0.05
+
+
+@pytest.mark.parametrize("gap", [0, 4])
+@pytest.mark.parametrize("balancers", BALANCERS)
+def test_a_zone_that_is_back_cold_stands(balancers: int, gap: int) -> None:
+    """Replaced at once, or gone for some seconds in which its work goes elsewhere."""
+    servers = line_up([(zone, "x", 1.0) for zone in "abcd"] * 5)
+    settings = cold_settings(cross_zone_price=PRICE)
+    plan = Plan(balancers, servers, settings, list_delay=SECOND, returns=False)
+    fleet = Fleet(plan)
+    fleet.run(5)
+    if gap:
+        fleet.announce(tuple(server for server in servers if server.zone != "a"))
+        fleet.run(gap)
+    new = [replace(s, id=100 + s.id, started=fleet.now) for s in servers if s.zone == "a"]
+    fleet.announce((*(server for server in servers if server.zone != "a"), *new))
+    fleet.run(6)
+    stands(fleet)
+    assert fleet.used(new) > 0.05
+
+
+@pytest.mark.parametrize("balancers", BALANCERS)
+def test_few_heavy_requests_leave_cold_servers_standing(balancers: int) -> None:
+    """N is 2.7 at the start."""
+    plan = Plan(balancers, ALIKE, cold_settings(ramp_time=80), 3.0, spread=0.5, returns=False)
+    plan = replace(plan, aim=3 * SECOND, patience=6 * SECOND)
+    fleet, new = play(plan, lambda server: server.id % 5 == 0, before=10, after=40)
+    stands(fleet)
+    assert fleet.used(new) > 0.03
+
+
+@pytest.mark.parametrize("returns", [False, True])
+@pytest.mark.parametrize("balancers", BALANCERS)
+def test_many_light_requests_leave_cold_servers_standing(balancers: int, returns: bool) -> None:
+    """N is 180 at the start: little is put down to chance."""
+    settings = cold_settings(fall_time=3, connect_time=0.1)
+    servers = line_up([("a", "x", 1.0)] * 6)
+    plan = Plan(balancers, servers, settings, 135.0, shares=heavy(balancers), returns=returns)
+    fleet, new = play(plan, lambda server: server.id <= 2, before=4, after=4)
+    stands(fleet)
+    assert fleet.used(new) > 0.2
+
+
+@pytest.mark.parametrize("returns", [False, True])
+@pytest.mark.parametrize(
+    ("times", "fall_multiple", "cold_share"),
+    [(1.5, 1.5, 0.15), (2.0, 1.5, 0.15), (2.0, 2.0, 0.1), (3.0, 1.5, 0.15)],
+)
+def test_a_zone_with_more_than_its_part_of_the_traffic_stands(
+    times: float, fall_multiple: float, cold_share: float, returns: bool
+) -> None:
+    """It is replaced, and its balancers take most of what the others can do."""
+    settings = cold_settings(fall_multiple, 3.0, 0.1, cold_share, 60.0, PRICE)
+    shares = heavy_zone(60, 4, times)
+    plan = Plan(60, ZONES, settings, 60.0, load=0.8, shares=shares, returns=returns)
+    fleet, _ = play(plan, lambda server: server.zone == "a", before=4, after=4)
+    stands(fleet)
+
+
+@st.composite
+def plans(draw: st.DrawFn) -> tuple[Plan, float]:
+    """A plan, and the share of its servers that is replaced."""
+    zones, flavors = draw(st.integers(1, 4)), draw(st.integers(1, 3))
+    hosts = draw(st.integers(max(4, zones), 24))
+    known = draw(st.booleans())
+    sizes = draw(st.sampled_from([[1.0], [0.5, 1.0, 2.0]])) if known else [1.0]
+    settings = cold_settings(
+        fall_multiple=draw(st.floats(1.5, 4)),
+        fall_time=draw(st.floats(1, 3)),
+        connect_time=draw(st.floats(0.1, 1.5)),
+        cold_share=draw(st.floats(0.1, 0.5)),
+        cross_zone_price=draw(st.sampled_from([0.0, PRICE])),
+        weights_are_sizes=known,
+    )
+    kinds = [
+        ("abcd"[n % zones], "xyz"[n // zones % flavors], sizes[n // 2 % len(sizes)]) for n in range(hosts)
+    ]
+    balancers = draw(st.integers(1, 120))
+    plan = Plan(
+        balancers,
+        line_up(kinds),
+        settings,
+        capacity=draw(st.sampled_from([3.0, 20.0, 50.0])),
+        load=draw(st.floats(0.3, 0.8)),
+        shares=heavy(balancers, 5.0, zones) if draw(st.booleans()) else (),
+        list_delay=draw(st.integers(0, 3)) * SECOND,
+        returns=draw(st.booleans()),
+        spread=draw(st.sampled_from([0.0, 0.5])),
+        seed=draw(st.integers(1, 1000)),
+    )
+    return plan, draw(st.floats(0.1, 1))
+
+
+@hypothesis_settings(derandomize=True, deadline=None, max_examples=80, database=None)
+@given(drawn=plans())
+def test_cold_servers_stand_whatever_the_fleet(drawn: tuple[Plan, float]) -> None:
+    plan, share = drawn
+    leaving = max(1, round(share * len(plan.servers)))
+    fleet, _ = play(plan, lambda server: server.id <= leaving, before=4, after=4)
+    stands(fleet)
+
+
+# The measure itself
+
+
+def test_the_measure_shows_budgets_that_are_too_large() -> None:
+    settings = cold_settings(1.5, 3.0, 0.1, 0.1)
+    fleet = Fleet(Plan(20, ZONES, settings, 60.0, load=0.8, returns=False))
+    for member in fleet.members:
+        member.balancer._slow_start._refilled *= 6
+    fleet.run(4)
+    fleet.replace(fleet.servers[:3])
+    fleet.run(4)
+    assert fleet.worst().excess > 0
+
+
+def test_what_balancers_sent_that_had_not_been_told_makes_no_fall() -> None:
+    settings = cold_settings(fall_multiple=2, fall_time=1, cold_share=0.5)
+    fleet = Fleet(Plan(1, ALIKE[:1], settings, 10.0))
+    cold = Incarnation(Server(9, started=START), 10 / SECOND, 0.5, 40 * SECOND, True, 50.0, 1)
+    fleet.incarnations.append(cold)
+    told = [Arrival(START + n * MS, 1.0, n % 3, True) for n in range(30)]
+    cold.arrivals = told
+    assert fleet.worst().budget == pytest.approx(10)
+    assert fleet.worst().excess == pytest.approx(30 - (10 + 2 * 10**0.5 + 2))
+    cold.arrivals = [replace(arrival, told=arrival.rank > 0) for arrival in told]
+    assert fleet.worst().excess < 30 - (10 + 2 * 10**0.5 + 2)  # all of it is two thirds only
+    cold.arrivals = [replace(arrival, told=False) for arrival in told]
+    assert fleet.worst().got == 0
+
+
+# How a balancer works out its part
+
+
+def serve(load: FlavorLoad, begin: float, end: float, work: float) -> int:
+    """Each 10 ms so much work is done, from one second to another; the last moment."""
+    for now in range(round(begin * SECOND), round(end * SECOND), 10 * MS):
+        load.served(work, now)
+    return round(end * SECOND)
+
+
+def test_a_flavor_keeps_its_rate_once_no_warm_server_is_left() -> None:
+    load = FlavorLoad(0)
+    load.follow(4.0, 0)
+    now = serve(load, 0, 30, 8.0)
+    known = load.rate(now)
+    assert known == pytest.approx(8 / 4 / (10 * MS), rel=0.05)
+    load.follow(0.0, now)
+    for later in (0, SECOND, 3600 * SECOND):
+        assert load.rate(now + later) == pytest.approx(known, rel=0.05)
+        load.follow(0.0, now + later)
+
+
+def test_a_flavor_met_lately_keeps_its_rate_as_well() -> None:
+    load = FlavorLoad(0)
+    load.follow(4.0, 0)
+    now = serve(load, 0, 3, 8.0)
+    load.follow(0.0, now)
+    assert load.rate(now + SECOND) == pytest.approx(8 / 4 / (10 * MS), rel=0.05)
+
+
+def test_the_last_server_of_a_flavor_does_not_stand_for_all() -> None:
+    """It served one balancer alone for a second, five times what a server had taken."""
+    load = FlavorLoad(0)
+    load.follow(10.0, 0)
+    now = serve(load, 0, 60, 10.0)
+    usual = load.rate(now)
+    load.follow(1.0, now)
+    now = serve(load, 60, 61, 5.0)
+    load.follow(0.0, now)
+    assert usual <= load.rate(now) < usual * (1 + 5 * SECOND / MEMORY)
+
+
+def test_work_is_divided_by_the_warm_servers_there_were_when_it_was_done() -> None:
+    load = FlavorLoad(0)
+    load.follow(10.0, 0)
+    now = serve(load, 0, 20, 10.0)
+    before = load.rate(now)
+    load.follow(1.0, now)
+    assert load.rate(now) == before
+    now = serve(load, 20, 30, 1.0)
+    assert load.rate(now) == pytest.approx(before, rel=0.05)
+
+
+def hosts_of(servers: Iterable[Server]) -> list[Host]:
+    random = Random(1)
+    return [Host(server, random, Breaker(random), Budget(0)) for server in servers]
+
+
+def admitted(slow: SlowStart, host: Host, begin: int, seconds: int, cost: int) -> int:
+    """How many requests a server is sent that is asked for each 10 ms."""
+    count = 0
+    for now in range(begin, begin + seconds * SECOND, 10 * MS):
+        if slow.admits(host, cost, now):
+            slow.reserve(host, cost, now)
+            count += 1
+    return count
+
+
+def test_a_server_outside_the_subset_gets_a_trickle_only() -> None:
+    """From all balancers together one request each fall time."""
+    balancers, cost, seconds = 10, 10 * MS, 400
+    settings = replace(cold_settings(ramp_time=10_000), balancers=balancers)
+    slow = SlowStart(settings, Random(1))
+    warm, own, other = hosts_of([*ALIKE[:1], *(Server(n, flavor="x", started=1) for n in (2, 3))])
+    slow.follow({warm: 1.0, own: 0.15, other: 0.15}, 1, 0)
+    other.own = False
+    for now in range(0, 20 * SECOND, 10 * MS):
+        slow.answered(warm, 0, cost, now)
+    expected = seconds * SECOND / settings.fall_time / balancers
+    got = admitted(slow, other, 20 * SECOND, seconds, cost)
+    assert 0.4 * expected < got < 1.7 * expected
+    for now in range(0, 20 * SECOND, 10 * MS):
+        slow.answered(warm, 0, cost, now + 400 * SECOND)
+    assert admitted(slow, own, 420 * SECOND, 2, cost) > 10
+
+
+@pytest.mark.parametrize("warm", [set(), {"a"}, {"b"}, {"c", "d"}, {"a", "b", "c", "d"}])
+@pytest.mark.parametrize("price", [0.0, PRICE])
+@pytest.mark.parametrize("sizes", [False, True])
+@pytest.mark.parametrize("balancers", [1, 30, 200])
+def test_the_parts_of_a_flavor_have_a_mean_of_one_wherever_its_warm_servers_are(
+    balancers: int, sizes: bool, price: float, warm: set[str]
+) -> None:
+    kinds = [("a", "x", 0.5), ("a", "y", 4.0), ("b", "x", 1.0), ("c", "x", 2.0), ("d", "y", 1.0)] * 4
+    settings = cold_settings(cross_zone_price=price, weights_are_sizes=sizes)
+    settings = replace(settings, balancers=balancers, zone="a")
+    slow = SlowStart(settings, Random(1))
+    hosts = hosts_of(line_up(kinds))
+    warmth = {host: 1.0 if host.info.zone in warm else 0.15 for host in hosts}
+    weigh(warmth, settings)
+    slices = subset(hosts, settings).slices
+    slow.follow(warmth, slices, 0)
+    for flavor in "xy":
+        members = [host for host in hosts if host.info.flavor == flavor]
+        total = sum(host.info.weight if sizes else 1.0 for host in members)
+        assert sum(host.demand for host in members) / total == pytest.approx(slices)
+
+
+@pytest.mark.parametrize("price", [0.0, PRICE])
+def test_the_parts_of_a_server_at_all_balancers_have_a_mean_of_one(price: float) -> None:
+    """Where the zones are alike; also while one of them is cold."""
+    hosts = hosts_of(ZONES)
+    totals = dict.fromkeys(hosts, 0.0)
+    for zone in "abcd":
+        settings = replace(cold_settings(cross_zone_price=price), balancers=40, zone=zone)
+        SlowStart(settings, Random(1)).follow({h: 0.15 if h.info.zone == "a" else 1.0 for h in hosts}, 1, 0)
+        totals = {host: total + host.demand / 4 for host, total in totals.items()}
+    assert list(totals.values()) == pytest.approx([1.0] * len(hosts))
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -10,13 +10,14 @@
 from random import Random
 
 from whinrouter.breaker import Breaker
-from whinrouter.host import Host
+from whinrouter.host import Budget, Host
 from whinrouter.idempotency import may_go_to, may_refuse, repeat_by
 from whinrouter.interface import (
     SECOND, Action, Attempt, AttemptEnded, Cancel, Effect, Event, Fail, Outcome, Pending, Refuse, Request,
     RequestClass, RequestGone, RequestId, Send, Server, ServerId, ServerList, SetTimer, Settings,
     State, StreamStarted, Subscribe, TimerFired, Update,
 )  # fmt: skip
+from whinrouter.slow_start import SlowStart
 from whinrouter.subset import by_key, subset, weigh
 
 OPEN_SHARE = 0.5  # no closed breaker counts a failure while this share of them is open
@@ -33,12 +34,7 @@
 EXTRA_BURST = 20.0  # saved up at most, by all balancers together
 STEP = 1.04  # by which the usual time follows each answer
 
-RATE_WINDOW = 2 * SECOND  # over which the work that servers did is averaged
 SUM_EVERY = 100_000  # not at every look: with a hundred cold servers that overran the CPU share
-# Of what would push a cold server over. No more is saved up than comes in the time in which it would fall, so
-# that all balancers together never send more than twice this in that time.
-COLD_PART = 0.4
-
 # A time-out is none: the client's own limit cut it short. Being late is judged before, by peers.
 FAILURES = {Outcome.ERROR, Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.UNKNOWN}
 # Connections that never come up or break tell of the host or the way to it, not of what was asked.
@@ -52,12 +48,8 @@
         self._classes = {kind.name: kind for kind in settings.classes}
         self._hosts: dict[ServerId, Host] = {}  # those that may be sent to
         self._pending: dict[RequestId, Pending] = {}
-        self._served: dict[str, float] = {}  # work that each warm server of a kind did for it lately
-        self._counted = 0
         self._spare = self._most_spare = max(1.0, EXTRA_BURST / settings.balancers)  # extra attempts
-        self._warm: dict[str, float] = {}  # how many warm servers its subset has, by kind, as it uses them
-        self._full: dict[str, float] = {}  # what each of them did lately; kept once none is left
-        self._total = 0.0  # warmth of all servers
+        self._slow_start = SlowStart(settings, self._random)
         self._summed: int | None = None  # when their warmth was last looked at; None if all are warm
         self._seen: dict[tuple[str, bool], int] = {}  # requests by class, and by whether beyond a share
         self._asked: dict[tuple[str, bool], float] = {}  # work asked for, likewise
@@ -96,7 +88,7 @@
                 self._hosts.pop(server, None)
             elif known is None or known.info.started != info.started:
                 # A restarted server is a new one: cold, and its breaker fresh.
-                fresh = Host(info, self._random, Breaker(self._random), now)
+                fresh = Host(info, self._random, Breaker(self._random), Budget(now))
                 fresh.balancers = self._settings.balancers
                 self._hosts[server] = fresh
             else:
@@ -107,59 +99,13 @@
     def _settle_shares(self, now: int) -> None:
         """What is meant for each server follows the list and, while some are cold, their warmth."""
         hosts = self._hosts.values()
-        warmth = {host: self._warmth(host, now) for host in hosts}
-        self._total = sum(warmth.values())
+        warmth = {host: self._slow_start.warmth(host.info, now) for host in hosts}
         weigh(warmth, self._settings)
-        self._order, self._spill = subset(hosts, self._settings)
-        self._warm = {}
-        for host in self._order:
-            if warmth[host] == 1:
-                kind = host.info.kind
-                self._warm[kind] = self._warm.get(kind, 0.0) + host.weight * self._total
+        chosen = subset(hosts, self._settings)
+        self._order, self._spill = chosen.own, chosen.others
+        self._slow_start.follow(warmth, chosen.slices, now)
         self._summed = now if min(warmth.values(), default=1) < 1 else None
 
-    def _warmth(self, host: Host, now: int) -> float:
-        """The least share of its capacity that a server has by now."""
-        ramp, started = self._settings.ramp_time, host.info.started
-        if not started or now >= started + ramp:
-            return 1.0
-        floor = self._settings.cold_share
-        return floor + (1 - floor) * max(0, now - started) / ramp
-
-    def _count(self, kind: str, cost: float, now: int) -> None:
-        """Add to the work that warm servers of a kind did lately, for each of those that there are now.
-
-        Shared out later, it would look like more from each one that is left once others have gone.
-        """
-        if kind not in self._warm:
-            return
-        kept = max(0.0, 1 - (now - self._counted) / RATE_WINDOW)
-        self._served = {name: work * kept for name, work in self._served.items()}
-        self._served[kind] = self._served.get(kind, 0.0) + cost / self._warm[kind]
-        self._counted = now
-
-    def _refill(self, host: Host, cost: float, now: int) -> None:
-        """Give a cold server its share, by present capacity, of what each warm one did lately.
-
-        Work asked for would not do: retries swell it. Nor would what the cold ones did: less than their share
-        where they were given less, and that holds them down for as long as most of them are cold. Each
-        balancer's shares follow its own traffic, which its subset bears alone: divided by all servers, a
-        share would shrink with the number of subsets.
-        """
-        kind = host.info.kind
-        if kind in self._warm:
-            self._full[kind] = self._served.get(kind, 0.0) / RATE_WINDOW
-        # A trickle even where nothing is known yet; split, as that of many balancers alone pushed one over.
-        trickle = cost / RATE_WINDOW / self._settings.balancers
-        share = host.weight * self._total * self._warmth(host, now) * self._settings.fall_multiple * COLD_PART
-        rate = max(self._full.get(kind, 0.0) * share if host.own else 0.0, trickle)
-        saved = min(host.allowance + rate * (now - host.refilled), rate * self._settings.fall_time)
-        # A part of a request is a whole one with that chance: saved up to whole ones by each of many
-        # balancers, they would all be there, and could all be sent, at the same time.
-        if saved < cost:
-            saved = cost if self._random.random() * cost < saved else 0.0
-        host.allowance, host.refilled = saved, now
-
     def _on_request(self, event: Request, now: int) -> list[Action]:
         kind = self._classes.get(event.class_name)
         if kind is None:  # a class never announced may hold anything: it must not run twice
@@ -261,9 +207,9 @@
         token = f"{pending.request.id}:{len(pending.attempts)}"
         trials = host.breaker.start(), host.of(pending.kind).start()
         by = repeat_by(pending) or 0
-        pending.attempts.append(Attempt(host.info, now, *trials))
+        reserved = self._slow_start.reserve(host, self._cost(pending), now)
+        pending.attempts.append(Attempt(host.info, now, *trials, reserved=reserved))
         host.in_flight += 1
-        host.allowance -= self._cost(pending)
         late = max(1, round(LATE * self._expected(pending)))
         return [Send(pending.request.id, host.info.id, last_byte=by), SetTimer(late, token)]
 
@@ -304,10 +250,7 @@
     def _admits(self, host: Host, pending: Pending, now: int) -> bool:
         if not host.admits(pending.kind, now) or not may_go_to(host.info, pending, self._listed):
             return False
-        if self._warmth(host, now) == 1:
-            return True
-        self._refill(host, self._cost(pending), now)
-        return host.allowance >= self._cost(pending)
+        return self._slow_start.admits(host, self._cost(pending), now)
 
     def _may_repeat(self, pending: Pending, now: int) -> bool:
         """Whether another attempt may start at all."""
@@ -360,8 +303,7 @@
             name, cost = pending.kind.name, pending.request.cost or 1
             usual = self._usual.setdefault(name, taken / cost)
             self._usual[name] = max(1 / cost, usual * STEP if taken / cost > usual else usual / STEP)
-            if host.own and self._warmth(host, now) == 1:
-                self._count(host.info.kind, self._cost(pending), now)
+            self._slow_start.answered(host, attempt.reserved, self._cost(pending), now)
         late = now - attempt.sent > TARGET * pending.kind.aim
         # Calling off what was not late yet, as when its client leaves, says nothing of the load.
         if attempt.outcome in (Outcome.OK, Outcome.TIMEOUT) or (
--- a/whinrouter/host.py
+++ b/whinrouter/host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import exp
 from random import Random
 
 from whinrouter.breaker import Breaker, ClassBreaker
@@ -17,16 +18,40 @@
 IN_VAIN = {None, Outcome.TIMEOUT, Outcome.CANCELLED}  # out, or given up while it was
 
 
+@dataclass(slots=True)
+class Budget:
+    """What a balancer may send to a cold server: a token bucket, in units of work."""
+
+    refilled_at: int
+    saved: float = 0.0  # by refill, as of `refilled_at`
+    returned: float = 0.0  # for what the server answered, as of `faded_at`
+    faded_at: int = 0
+
+    def refill(self, rate: float, most: float, now: int) -> None:
+        self.saved = min(self.saved + rate * (now - self.refilled_at), most)
+        self.refilled_at = now
+
+    def fade(self, time: float, now: int) -> None:
+        self.returned *= exp((self.faded_at - now) / time)
+        self.faded_at = now
+
+    def spend(self, cost: float) -> None:
+        """Take a cost out of it, first of what fades; it may have held less."""
+        from_returned = min(cost, self.returned)
+        self.returned -= from_returned
+        self.saved = max(0.0, self.saved - cost + from_returned)
+
+
 @dataclass(slots=True, eq=False)
 class Host:
     info: Server
     random: Random
     breaker: Breaker
-    refilled: int  # when its allowance was brought up to date
-    allowance: float = 0.0  # work that may be sent while cold
+    budget: Budget
     in_flight: int = 0
     own: bool = True  # in the subset that the balancer keeps to
     weight: float = 1.0  # part of the balancer's work that is meant for it, for each unit of warmth
+    demand: float = 1.0  # meant for it if warm, as a multiple of what a mean one of its flavor gets
     limit: float = FIRST_LIMIT  # in flight at most; grows with answers in time, shrinks with late ones
     cut: int = 0  # when the limit was last cut
     pace: float = 1.0  # how long its answers take, as a multiple of the usual time
--- a/whinrouter/interface.py
+++ b/whinrouter/interface.py
@@ -117,6 +117,8 @@
     ramp_time: int = 0  # and is warm after this at the latest
     fall_multiple: float = 4.0  # sent more than this multiple of its present capacity
     fall_time: int = SECOND  # for this long, a cold server falls over
+    connect_time: int = SECOND // 4  # a connection that is not up by then has failed
+    weights_are_sizes: bool = False  # the weights of servers tell how much they can do
     cross_zone_price: float = 0.0
     probe_price: float = 0.0
     allowances: Mapping[str, float] = field(
@@ -137,7 +139,7 @@
                 raise ValueError(f"{key} must be above 0")
         if self.max_retry_after < 0:
             raise ValueError("max_retry_after must not be below 0")
-        for key in ("ramp_time", "drain_grace"):
+        for key in ("ramp_time", "drain_grace", "connect_time"):
             if getattr(self, key) < 0:
                 raise ValueError(f"{key} must not be below 0")
 
@@ -149,7 +151,7 @@
     id: ServerId
     state: State = State.READY
     zone: str = ""
-    kind: str = ""
+    flavor: str = ""  # what machine it is
     cell: int | None = None  # None: not known
     weight: float = 1.0
     started: int = 0  # moment of its latest start; 0: long ago
@@ -285,6 +287,7 @@
     class_trial: bool = False  # the half-open trial of its class there
     judged: bool = False  # its server has had the verdict while it was out
     streams: bool = False  # the client's own since its answer began
+    reserved: float = 0.0  # work that it was paid for at a cold server
     outcome: Outcome | None = None  # None while it is out
 
     @property
--- a/whinrouter/net/config.py
+++ b/whinrouter/net/config.py
@@ -83,6 +83,7 @@
 
 def _config(told: Mapping[str, Any]) -> Config:
     setup = told["settings"]
+    settings = wire.settings(setup)
     limits, allowed = told.get("limits") or {}, setup.get("permissions") or {}
     return Config(
         name=str(told.get("name") or ""),
@@ -90,8 +91,8 @@
         discovery=address(str(told["discovery"])),
         seed=int.from_bytes(blake2b(str(told.get("seed")).encode(), digest_size=8).digest(), "big"),
         known=read_list(told.get("known") or {"members": []}),
-        settings=wire.settings(setup),
-        connect_time=int(allowed.get("dialTimeout") or SECOND // 4) / SECOND,
+        settings=settings,
+        connect_time=settings.connect_time / SECOND,
         idle_time=int(allowed.get("connIdle") or 15 * SECOND) / SECOND,
         sockets=_descriptors(int(limits.get("sockets") or 1024)),
     )
--- a/whinrouter/net/discovery.py
+++ b/whinrouter/net/discovery.py
@@ -76,7 +76,7 @@
         id=number(str(entry["id"])),
         state=_STATES.get(str(entry.get("phase")), State.DRAINING),
         zone=str(entry.get("locality") or ""),
-        kind=str(entry.get("flavor") or ""),
+        flavor=str(entry.get("flavor") or ""),
         cell=None if entry.get("cell") is None else int(entry["cell"]),
         weight=float(entry.get("size") or 1.0),
         started=int(entry.get("up_since_ms") or 0) * MS,
--- a/whinrouter/subset.py
+++ b/whinrouter/subset.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass
 from hashlib import blake2b
 from math import log
 
@@ -25,33 +26,48 @@
     return sorted(hosts, key=lambda host: -log((rank(key, host.info.id) + 1) / _HIGHEST) / host.weight)
 
 
-def weigh(warmth: Mapping[Host, float], settings: Settings) -> None:
-    """Set for each server the part of this balancer's work that is meant for it, for each unit of its warmth.
+@dataclass(frozen=True, slots=True)
+class Subset:
+    """What a balancer keeps to."""
+
+    own: list[Host]
+    others: list[Host]  # in the order in which they stand in
+    slices: int  # one in so many balancers keeps to a server
+
+
+def zone_weights(capacity: Mapping[str, float], settings: Settings) -> dict[str, float]:
+    """The part of this balancer's work that is meant for each unit of capacity, by zone.
 
     Where crossing zones has its price, work stays in its zone as far as the zone has its part of the fleet's
     capacity; the rest goes where there is more than that. All zones are taken to ask for the same. With few
     balancers that is rough, as one zone may have one more of them: so much of the work goes wherever it can.
     """
+    total, here = sum(capacity.values()), settings.zone
+    if settings.cross_zone_price <= 0 or here not in capacity:
+        return dict.fromkeys(capacity, 1 / total if total else 0.0)
+    equal = total / len(capacity)
+    spare = {zone: max(0.0, held - equal) for zone, held in capacity.items() if zone != here}
+    away = max(0.0, equal - capacity[here]) / equal * total
+    meant = {zone: away * more / (sum(spare.values()) or 1) for zone, more in spare.items()}
+    meant[here] = total - away
+    rough = 1 / settings.balancers
+    return {
+        zone: (rough * held + (1 - rough) * meant[zone]) / held / total for zone, held in capacity.items()
+    }
+
+
+def weigh(warmth: Mapping[Host, float], settings: Settings) -> None:
+    """Set what part of this balancer's work is meant for each server, per unit of its warmth."""
     capacity: dict[str, float] = {}
     for host, part in warmth.items():
         capacity[host.info.zone] = capacity.get(host.info.zone, 0.0) + part
-    total, here = sum(capacity.values()), settings.zone
-    if settings.cross_zone_price <= 0 or here not in capacity:
-        meant = capacity
-    else:
-        equal = total / len(capacity)
-        spare = {zone: max(0.0, held - equal) for zone, held in capacity.items() if zone != here}
-        away = max(0.0, equal - capacity[here]) / equal * total
-        meant = {zone: away * more / (sum(spare.values()) or 1) for zone, more in spare.items()}
-        meant[here] = total - away
-        rough = 1 / settings.balancers
-        meant = {zone: rough * held + (1 - rough) * meant[zone] for zone, held in capacity.items()}
+    weights = zone_weights(capacity, settings)
     for host in warmth:
-        host.weight = meant[host.info.zone] / capacity[host.info.zone] / total
+        host.weight = weights[host.info.zone]
 
 
-def subset(hosts: Collection[Host], settings: Settings) -> tuple[list[Host], list[Host]]:
-    """A balancer's servers, and the others in the order in which they stand in.
+def subset(hosts: Collection[Host], settings: Settings) -> Subset:
+    """The servers that a balancer keeps to, and the others.
 
     Hundreds of balancers with a connection each fill every server's table, and the rest cannot connect.
     Balancers in turn cut the same shuffled ring into equal slices, so each server serves as many of them.
@@ -70,4 +86,4 @@
         host.own = first <= number < end
     for host in others:
         host.own = False
-    return ring[first:end], ring[end:] + ring[:first] + others
+    return Subset(ring[first:end], ring[end:] + ring[:first] + others, slices)
--- a/whinrouter/wire.py
+++ b/whinrouter/wire.py
@@ -83,6 +83,8 @@
         ramp_time=int(rules.get("rampTime") or 0),
         fall_multiple=float(rules.get("fallMultiple") or 1.0),
         fall_time=int(rules.get("fall") or SECOND),
+        connect_time=int(allowed.get("dialTimeout") or SECOND // 4),
+        weights_are_sizes=setup.get("weightSource") in ("nominal", "rough"),
         cross_zone_price=float(fees.get("crossZone") or 0.0),
         probe_price=float(fees.get("probe") or 0.0),
         allowances={
@@ -112,7 +114,7 @@
         id=entry["host"],
         state=_STATES.get(entry.get("stageState") or "", State.DRAINING),
         zone=str(entry.get("regionPart") or ""),
-        kind=str(entry.get("sku") or ""),
+        flavor=str(entry.get("sku") or ""),
         cell=None if entry.get("group") is None else int(entry["group"]),
         weight=float(entry.get("rating") or 1.0),
         started=int(entry.get("readyAt") or 0),
