--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -27,7 +27,7 @@
     served: Counter[int] = Counter()
 
     def answers(server: int) -> bool:
-        own = [host.info.id for host in driver.balancer._order]
+        own = [host.info.id for host in driver.balancer._own]
         of_warm = [served[other] for other in own if other <= warm]
         return server <= warm or served[server] <= FLOOR * sum(of_warm) / len(of_warm)
 
@@ -50,7 +50,7 @@
     before = len(driver.sent)
     pass_seconds(40)
     got = Counter(sent.server for sent in driver.sent[before:])
-    own = {host.info.id for host in driver.balancer._order}
+    own = {host.info.id for host in driver.balancer._own}
     of_cold = [got[server.id] for server in new if server.id in own]
     of_warm = [got[server] for server in range(1, warm + 1) if server in own]
     return sum(of_warm) / len(of_warm), sum(of_cold) / len(of_cold)
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -75,7 +75,7 @@
 
     proxy.balancer._candidates = candidates  # type: ignore[method-assign]
     for place, server in enumerate(order):
-        known[server].pace, known[server].paced = 1.0 + place, 2**62
+        known[server].pace, known[server].paced_at = 1.0 + place, 2**62
 
 
 async def ask(proxy: Running, kind: RequestClass) -> tuple[Client, Message]:
@@ -163,7 +163,7 @@
         ) as proxy,
     ):
         prefer(proxy, first, other)
-        proxy.balancer._usual[ADD.name] = 10 * MS
+        proxy.balancer._usual_time[ADD.name] = 10 * MS
         held_up = HeldUp(monkeypatch, first)
         client = await proxy.client()
         client.writer.write(request_text(ADD.name, {"Idempotency-Key": "5c0f"}))
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -117,7 +117,7 @@
         driver.now += 20 * MS
         while driver.out():
             driver.end(driver.out()[0], Outcome.REJECTED)
-    assert driver.balancer._share < 0.01
+    assert driver.balancer._admitted_share < 0.01
     driver.now += SECOND
     for _ in range(100):
         driver.ask(CHEAP)
@@ -136,7 +136,7 @@
         while driver.out():
             driver.end(driver.out()[0], Outcome.CONNECT_FAILED)
         driver.now += 500 * MS
-    assert driver.balancer._share == 1
+    assert driver.balancer._admitted_share == 1
 
 
 def told_to_wait(longest: int, honoured: bool = True) -> list[int]:
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -25,7 +25,8 @@
 
 TARGET = 0.5  # share of the aim within which answers come in while a server has room
 SHED_TIME = SECOND // 2  # late answers for this long leave about a third of the share that is admitted
-SIGN = SECOND // 4  # an answer speaks for the time since the one before it, but for no longer than this
+# An answer speaks for the time since the one before it, but for no longer than this.
+NOTE_WINDOW = SECOND // 4
 COME_BACK = 0.25  # share of the aim after which one who was turned away may ask again
 SAVED = 5  # seconds of its share that a tenant may save up
 
@@ -34,7 +35,10 @@
 EXTRA_BURST = 20.0  # saved up at most, by all balancers together
 STEP = 1.04  # by which the usual time follows each answer
 
-SUM_EVERY = 100_000  # not at every look: with a hundred cold servers that overran the CPU share
+# How often the warmth of cold servers is looked at: with a hundred of them, a look at each request overran
+# the CPU share.
+WARMTH_INTERVAL = SECOND // 10
+
 # A time-out is none: the client's own limit cut it short. Being late is judged before, by peers.
 FAILURES = {Outcome.ERROR, Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.UNKNOWN}
 # Connections that never come up or break tell of the host or the way to it, not of what was asked.
@@ -48,18 +52,19 @@
         self._classes = {kind.name: kind for kind in settings.classes}
         self._hosts: dict[ServerId, Host] = {}  # those that may be sent to
         self._pending: dict[RequestId, Pending] = {}
-        self._spare = self._most_spare = max(1.0, EXTRA_BURST / settings.balancers)  # extra attempts
+        self._extra = self._most_extra = max(1.0, EXTRA_BURST / settings.balancers)  # extra attempts
         self._slow_start = SlowStart(settings, self._random)
-        self._summed: int | None = None  # when their warmth was last looked at; None if all are warm
-        self._seen: dict[tuple[str, bool], int] = {}  # requests by class, and by whether beyond a share
-        self._asked: dict[tuple[str, bool], float] = {}  # work asked for, likewise
-        self._credit = {tenant: (allowance * SAVED, 0) for tenant, allowance in settings.allowances.items()}
-        self._share, self._signed = 1.0, 0  # share of the work that is admitted; when an answer last moved it
-        self._let_in = 0  # when a request was last admitted
-        self._order: list[Host] = []  # for drawing at random
-        self._spill: list[Host] = []  # those outside its subset, in the order in which they stand in
-        self._patience: dict[str, int] = {}  # the longest time a client has left to its first try, by class
-        self._usual: dict[str, float] = {}  # median time of an answer by class, for each unit of cost
+        self._warmth_updated: int | None = None  # when their warmth was last looked at; None if all are warm
+        self._requests: dict[tuple[str, bool], int] = {}  # requests by class, and by whether beyond a share
+        self._work_asked: dict[tuple[str, bool], float] = {}  # work asked for, likewise
+        self._credits = {tenant: (allowance * SAVED, 0) for tenant, allowance in settings.allowances.items()}
+        self._admitted_share = 1.0  # of the work asked for, under overload
+        self._load_noted = 0  # when an answer last moved it
+        self._admitted_at = 0  # when a request was last admitted
+        self._own: list[Host] = []  # for drawing at random
+        self._others: list[Host] = []  # those outside its subset, in the order in which they stand in
+        self._longest_timeout: dict[str, int] = {}  # that a client has left to its first try, by class
+        self._usual_time: dict[str, float] = {}  # median time of an answer by class, for each unit of cost
 
     def handle(self, event: Event, now: int) -> list[Action]:
         if isinstance(event, Request):
@@ -73,7 +78,7 @@
         if isinstance(event, StreamStarted):
             return self._on_stream(event, now)
         pending = self._pending.get(event.request) if isinstance(event, RequestGone) else None
-        return self._settle(pending) if pending else []
+        return self._finish(pending) if pending else []
 
     def _on_servers(self, event: ServerList, now: int) -> list[Action]:
         asks = self._settings.must_subscribe
@@ -93,76 +98,81 @@
                 self._hosts[server] = fresh
             else:
                 known.info = info
-        self._settle_shares(now)
+        self._update_shares(now)
         return [Subscribe()] if asks and event.update is Update.STALE else []
 
-    def _settle_shares(self, now: int) -> None:
+    def _update_shares(self, now: int) -> None:
         """What is meant for each server follows the list and, while some are cold, their warmth."""
         hosts = self._hosts.values()
         warmth = {host: self._slow_start.warmth(host.info, now) for host in hosts}
         weigh(warmth, self._settings)
         chosen = subset(hosts, self._settings)
-        self._order, self._spill = chosen.own, chosen.others
+        self._own, self._others = chosen.own, chosen.others
         self._slow_start.follow(warmth, chosen.slices, now)
-        self._summed = now if min(warmth.values(), default=1) < 1 else None
+        self._warmth_updated = now if min(warmth.values(), default=1) < 1 else None
 
     def _on_request(self, event: Request, now: int) -> list[Action]:
         kind = self._classes.get(event.class_name)
         if kind is None:  # a class never announced may hold anything: it must not run twice
             kind = RequestClass("", event.timeout or 1, event.timeout or 1, Effect.AT_MOST_ONCE)
             self._classes[kind.name] = kind  # one for all of them: names are at a peer's will
-        if self._summed is not None and now >= self._summed + SUM_EVERY:
-            self._settle_shares(now)
+        if self._warmth_updated is not None and now >= self._warmth_updated + WARMTH_INTERVAL:
+            self._update_shares(now)
         pending = Pending(event, kind, now, now + event.timeout)
         self._pending[event.id] = pending
-        self._spare = min(self._most_spare, self._spare + EXTRA_SHARE)
-        part = kind.name, self._beyond(event, now)
-        self._seen[part] = self._seen.get(part, 0) + 1
-        self._asked[part] = self._asked.get(part, 0.0) + self._cost(pending)
+        self._extra = min(self._most_extra, self._extra + EXTRA_SHARE)
+        part = kind.name, self._over_allowance(event, now)
+        self._requests[part] = self._requests.get(part, 0) + 1
+        self._work_asked[part] = self._work_asked.get(part, 0.0) + self._cost(pending)
         if self._too_late(event, kind) or self._sheds(part, now):
             return self._answer(pending, now)
         return self._advance(pending, now)
 
     def _sheds(self, part: tuple[str, bool], now: int) -> bool:
         """Whether to turn a request away under overload; never all, as only answers tell that it is over."""
-        if self._share < 1 and now < self._let_in + SIGN and self._random.random() >= self._admitted(part):
+        overloaded = self._admitted_share < 1 and now < self._admitted_at + NOTE_WINDOW
+        if overloaded and self._random.random() >= self._admitted(part):
             return True
-        self._let_in = now
+        self._admitted_at = now
         return False
 
     def _too_late(self, event: Request, kind: RequestClass) -> bool:
         """Whether a client's retry comes after the aim; under overload it keeps what is in time waiting."""
         if not event.retry:
-            self._patience[kind.name] = max(event.timeout, self._patience.get(kind.name, 0))
-        known = event.retry and event.timeout < self._patience.get(kind.name, 0)  # cut short by the deadline
+            self._longest_timeout[kind.name] = max(event.timeout, self._longest_timeout.get(kind.name, 0))
+        longest = self._longest_timeout.get(kind.name, 0)
+        known = event.retry and event.timeout < longest  # cut short by the deadline
         return known and kind.late_worth == 0 and kind.deadline - event.timeout > kind.aim
 
-    def _sign(self, in_time: bool, now: int) -> None:
+    def _note_load(self, in_time: bool, now: int) -> None:
         """Overload shows in this balancer's own answers: it then admits less, and more again once it is over.
 
         Signs are weighed by time, not counted: one balancer that sees all and one of hundreds react alike.
         """
-        since, self._signed = self._signed or now, now  # the first sign speaks for no time at all
-        weight = min(now - since, SIGN) / SHED_TIME
-        self._share = min(1.0, self._share + weight) if in_time else self._share * (1 - weight)
-
-    def _beyond(self, event: Request, now: int) -> bool:
+        since, self._load_noted = self._load_noted or now, now  # the first sign speaks for no time at all
+        weight = min(now - since, NOTE_WINDOW) / SHED_TIME
+        if in_time:
+            self._admitted_share = min(1.0, self._admitted_share + weight)
+        else:
+            self._admitted_share *= 1 - weight
+
+    def _over_allowance(self, event: Request, now: int) -> bool:
         """Whether it is beyond its tenant's share, as far as this balancer's part of that tells."""
-        if event.tenant not in self._credit:
+        if event.tenant not in self._credits:
             return False
         rate = self._settings.allowances[event.tenant]
-        credit, since = self._credit[event.tenant]
+        credit, since = self._credits[event.tenant]
         credit = min(rate * SAVED, credit + rate * (now - since) / SECOND)
-        self._credit[event.tenant] = max(0.0, credit - (not event.retry)), now
+        self._credits[event.tenant] = max(0.0, credit - (not event.retry)), now
         return credit < 1
 
     def _admitted(self, part: tuple[str, bool]) -> float:  # what is worth least for its work goes first
         def value(other: tuple[str, bool]) -> float:
             worth = self._classes[other[0]].worth * (self._settings.over_share_worth if other[1] else 1)
-            return worth * self._seen[other] / self._asked[other]
+            return worth * self._requests[other] / self._work_asked[other]
 
-        above = sum(work for other, work in self._asked.items() if value(other) > value(part))
-        return (self._share * sum(self._asked.values()) - above) / self._asked[part]
+        above = sum(work for other, work in self._work_asked.items() if value(other) > value(part))
+        return (self._admitted_share * sum(self._work_asked.values()) - above) / self._work_asked[part]
 
     def _cost(self, pending: Pending) -> float:
         return pending.request.cost or self._expected(pending)  # no hint: the usual time stands for work
@@ -170,7 +180,7 @@
     def _expected(self, pending: Pending) -> float:
         """How long an answer to such a request usually takes, from any server."""
         cost = pending.request.cost or 1
-        return self._usual.get(pending.kind.name, pending.kind.aim / 4 / cost) * cost
+        return self._usual_time.get(pending.kind.name, pending.kind.aim / 4 / cost) * cost
 
     def _advance(self, pending: Pending, now: int) -> list[Action]:
         actions = self._attempt(pending, now) or []
@@ -178,24 +188,25 @@
             return actions
         # Attempts that failed tell of their servers; that none had room, or was full, tells of load.
         if all(attempt.outcome is Outcome.REJECTED for attempt in pending.attempts):
-            self._sign(False, now)
+            self._note_load(False, now)
         return self._answer(pending, now)
 
     def _attempt(self, pending: Pending, now: int) -> list[Action]:
         made = len(pending.attempts)
         # A first try and its fallback are free; more from hundreds of balancers swamp what still works.
         extra = made > 1 or bool(pending.out)
-        spent = now >= pending.deadline or made >= self._settings.max_attempts or self._spare < extra
+        spent = now >= pending.deadline or made >= self._settings.max_attempts or self._extra < extra
         host = None if spent or not self._may_repeat(pending, now) else self._choose(pending, now)
-        self._spare -= extra and host is not None
+        self._extra -= extra and host is not None
         return self._send(pending, host, now) if host else []
 
     def _answer(self, pending: Pending, now: int) -> list[Action]:
         request = pending.request.id
-        answer = Refuse(request, self._stay_away(pending.kind)) if may_refuse(pending, now) else Fail(request)
-        return [answer, *self._settle(pending)]
+        if may_refuse(pending, now):
+            return [Refuse(request, self._retry_after(pending.kind)), *self._finish(pending)]
+        return [Fail(request), *self._finish(pending)]
 
-    def _stay_away(self, kind: RequestClass) -> int:
+    def _retry_after(self, kind: RequestClass) -> int:
         """How long a client should wait before it asks again, where it can be told.
 
         Soon enough for an answer in time, but jittered: who is refused together should not be back together.
@@ -205,7 +216,7 @@
 
     def _send(self, pending: Pending, host: Host, now: int) -> list[Action]:
         token = f"{pending.request.id}:{len(pending.attempts)}"
-        trials = host.breaker.start(), host.of(pending.kind).start()
+        trials = host.breaker.start(), host.class_breaker(pending.kind).start()
         by = repeat_by(pending) or 0
         reserved = self._slow_start.reserve(host, self._cost(pending), now)
         pending.attempts.append(Attempt(host.info, now, *trials, reserved=reserved))
@@ -232,13 +243,13 @@
     def _candidates(self, key: str | None) -> Iterator[Host]:
         """The servers in random order; where they warm to keys, as the hash of the key ranks them."""
         if key is not None and self._settings.warm_keys:
-            yield from by_key(key, self._order)
+            yield from by_key(key, self._own)
         if self._settings.cross_zone_price > 0:  # stay while servers here have room to spare
-            here = [host for host in self._order if host.info.zone == self._settings.zone]
+            here = [host for host in self._own if host.info.zone == self._settings.zone]
             near = [host for host in here if 2 * host.in_flight < host.limit]
             yield from self._shuffled(near) if len(near) > 1 else ()
-        yield from self._shuffled(self._order)
-        yield from self._spill
+        yield from self._shuffled(self._own)
+        yield from self._others
 
     def _shuffled(self, hosts: list[Host]) -> Iterator[Host]:
         """In random order, worked out only as far as it is asked for."""
@@ -274,7 +285,7 @@
             self._judge(host, pending, attempt, now)
         if not event.answered and not pending.answered:
             return self._advance(pending, now)
-        return self._settle(pending)
+        return self._finish(pending)
 
     def _on_stream(self, event: StreamStarted, now: int) -> list[Action]:
         """The attempt is the client's now; how long its stream lasts says nothing of its server."""
@@ -285,7 +296,7 @@
         if host is not None:
             host.succeed(pending.kind, attempt, now)
         attempt.judged = attempt.streams = True
-        return self._settle(pending)
+        return self._finish(pending)
 
     def _find(self, request: RequestId, number: int) -> tuple[Pending | None, Attempt | None]:
         pending = self._pending.get(request)
@@ -299,17 +310,17 @@
     def _judge(self, host: Host, pending: Pending, attempt: Attempt, now: int) -> None:
         if attempt.outcome is Outcome.OK and not attempt.streams:
             taken = now - attempt.sent
-            host.paced, host.pace = now, host.pace + 0.2 * (taken / self._expected(pending) - host.pace)
+            host.paced_at, host.pace = now, host.pace + 0.2 * (taken / self._expected(pending) - host.pace)
             name, cost = pending.kind.name, pending.request.cost or 1
-            usual = self._usual.setdefault(name, taken / cost)
-            self._usual[name] = max(1 / cost, usual * STEP if taken / cost > usual else usual / STEP)
+            usual = self._usual_time.setdefault(name, taken / cost)
+            self._usual_time[name] = max(1 / cost, usual * STEP if taken / cost > usual else usual / STEP)
             self._slow_start.answered(host, attempt.reserved, self._cost(pending), now)
         late = now - attempt.sent > TARGET * pending.kind.aim
         # Calling off what was not late yet, as when its client leaves, says nothing of the load.
         if attempt.outcome in (Outcome.OK, Outcome.TIMEOUT) or (
             late and attempt.outcome is Outcome.CANCELLED
         ):
-            self._sign(attempt.outcome is Outcome.OK and not late, now)
+            self._note_load(attempt.outcome is Outcome.OK and not late, now)
         if attempt.outcome is Outcome.OK and not attempt.streams:
             host.succeed(pending.kind, attempt, now)
         if not attempt.judged:  # else its verdict is given
@@ -331,7 +342,7 @@
         if attempt.outcome in CLASS_FAILURES or self._silent(host, pending, attempt, now):
             self._fail_class(host, pending, attempt, now)
         elif attempt.class_trial and attempt.outcome is not Outcome.OK:
-            host.of(pending.kind).abandon()
+            host.class_breaker(pending.kind).abandon()
 
     def _silent(self, host: Host, pending: Pending, attempt: Attempt, now: int) -> bool:
         return host.silent(pending.kind, attempt, self._expected(pending), now)
@@ -343,10 +354,10 @@
             host.breaker.fail(now, attempt.trial)
 
     def _fail_class(self, host: Host, pending: Pending, attempt: Attempt, now: int) -> None:
-        opened = sum(not other.of(pending.kind).closed for other in self._hosts.values())
+        opened = sum(not other.class_breaker(pending.kind).closed for other in self._hosts.values())
         if attempt.class_trial or opened < CLASS_OPEN_SHARE * len(self._hosts):
             failed = attempt.outcome in CLASS_FAILURES
-            breaker = host.of(pending.kind)
+            breaker = host.class_breaker(pending.kind)
             (breaker.fail if failed else breaker.miss)(now, attempt.class_trial)
 
     def _on_late(self, token: str, now: int) -> list[Action]:
@@ -365,7 +376,7 @@
                 return self._attempt(pending, now)
         return []
 
-    def _settle(self, pending: Pending) -> list[Action]:
+    def _finish(self, pending: Pending) -> list[Action]:
         """Nothing more is owed: call off what is out, and forget the request once all has ended."""
         first, pending.answered = not pending.answered, True
         out = pending.out
--- a/whinrouter/host.py
+++ b/whinrouter/host.py
@@ -53,28 +53,28 @@
     weight: float = 1.0  # part of the balancer's work that is meant for it, for each unit of warmth
     demand: float = 1.0  # meant for it if warm, as a multiple of what a mean one of its flavor gets
     limit: float = FIRST_LIMIT  # in flight at most; grows with answers in time, shrinks with late ones
-    cut: int = 0  # when the limit was last cut
+    limit_cut_at: int = 0  # when the limit was last cut
     pace: float = 1.0  # how long its answers take, as a multiple of the usual time
-    paced: int = 0
+    paced_at: int = 0
     faults: float = 0.0  # failures, as far as they still counted when the last one came
-    faulted: int = 0
+    faulted_at: int = 0
     balancers: int = 1  # that send to it
     classes: dict[str, ClassBreaker] = field(default_factory=dict)  # an entry for each class announced
 
     def busy(self, now: int) -> float:
         """In flight by pace; a pace not seen again is forgotten, or a bad spell would last for ever."""
         return (self.in_flight + 1 + self._faults_left(now)) * (
-            1 + (self.pace - 1) * max(0.0, 1 - (now - self.paced) / RECALL)
+            1 + (self.pace - 1) * max(0.0, 1 - (now - self.paced_at) / RECALL)
         )
 
     def fault(self, now: int) -> None:
         """It failed a request: of two it is the other that is tried first, for a while."""
-        self.faults, self.faulted = self._faults_left(now) + 1, now
+        self.faults, self.faulted_at = self._faults_left(now) + 1, now
 
     def _faults_left(self, now: int) -> float:
-        return self.faults * max(0.0, 1 - (now - self.faulted) / (FAULT_RECALL * self.balancers))
+        return self.faults * max(0.0, 1 - (now - self.faulted_at) / (FAULT_RECALL * self.balancers))
 
-    def of(self, kind: RequestClass) -> ClassBreaker:
+    def class_breaker(self, kind: RequestClass) -> ClassBreaker:
         known = self.classes.get(kind.name)
         if known is None:
             known = self.classes[kind.name] = ClassBreaker(self.random)
@@ -82,7 +82,7 @@
 
     def admits(self, kind: RequestClass, now: int) -> bool:
         room = self.in_flight < int(self.limit)
-        return room and self.breaker.admits(now) and self.of(kind).admits(now)
+        return room and self.breaker.admits(now) and self.class_breaker(kind).admits(now)
 
     def widen(self) -> None:
         """An answer came in time: the limit grows where it is nearly reached."""
@@ -91,15 +91,15 @@
 
     def narrow(self, attempt: Attempt, now: int) -> None:
         """One stall delays all that is in flight: it is one sign, however many attempts it holds."""
-        if attempt.sent >= self.cut:
+        if attempt.sent >= self.limit_cut_at:
             self.limit = max(1.0, self.limit * BACK_OFF)
-            self.cut = now
+            self.limit_cut_at = now
 
     def succeed(self, kind: RequestClass, attempt: Attempt, now: int) -> None:
         """A late answer has had its verdict, but shows that its class is served."""
         if not attempt.judged:
             self.breaker.succeed(attempt.trial)
-        self.of(kind).serve(now, attempt.class_trial and not attempt.judged)
+        self.class_breaker(kind).serve(now, attempt.class_trial and not attempt.judged)
 
     def silent(self, kind: RequestClass, attempt: Attempt, usual: float, now: int) -> bool:
         """Whether it let an attempt wait and served none of its class meanwhile; a slow one serves others.
@@ -107,4 +107,4 @@
         Clients that leave early must not hide that: each makes a silent server look free for the next.
         """
         waited = attempt.outcome in IN_VAIN and now - attempt.sent >= usual
-        return waited and self.of(kind).served < attempt.sent
+        return waited and self.class_breaker(kind).served < attempt.sent
--- a/whinrouter/subset.py
+++ b/whinrouter/subset.py
@@ -72,18 +72,11 @@
     Hundreds of balancers with a connection each fill every server's table, and the rest cannot connect.
     Balancers in turn cut the same shuffled ring into equal slices, so each server serves as many of them.
     """
-    meant = [host for host in hosts if host.weight > 0]
-    # Where work stays in its zone, the zones' balancers have their zone's servers to themselves.
-    apart = len({host.info.zone for host in hosts}) if len(meant) < len(hosts) else 1
-    count, known = settings.balancers // apart, len(meant)
-    slices = max(1, min(count // FAN_IN, known // LEAST_SUBSET))
+    known = len(hosts)
+    slices = max(1, min(settings.balancers // FAN_IN, known // LEAST_SUBSET))
     turn, place = divmod(settings.rank, slices)
-    ring = sorted(meant, key=lambda host: rank(str(turn), host.info.id))
+    ring = sorted(hosts, key=lambda host: rank(str(turn), host.info.id))
     first, end = place * known // slices, (place + 1) * known // slices
-    others = [host for host in hosts if host.weight <= 0]
-    others.sort(key=lambda host: rank(str(turn), host.info.id))
     for number, host in enumerate(ring):
         host.own = first <= number < end
-    for host in others:
-        host.own = False
-    return Subset(ring[first:end], ring[end:] + ring[:first] + others, slices)
+    return Subset(ring[first:end], ring[end:] + ring[:first], slices)
