--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import replace
+from math import e
 from random import Random
 
 import pytest
@@ -13,12 +14,12 @@
 
 from whinrouter.breaker import Breaker
 from whinrouter.host import Budget, Host
-from whinrouter.interface import MS, SECOND, Server, Settings
-from whinrouter.slow_start import MEMORY, FlavorLoad, SlowStart
+from whinrouter.interface import MS, SECOND, Outcome, Server, Settings
+from whinrouter.slow_start import FADE_TIME, MEMORY, SAVED_TIME, FlavorLoad, SlowStart
 from whinrouter.subset import subset, weigh
 
 from .fleet import START, Arrival, Fleet, Incarnation, Plan, Window
-from .helpers import CLASSES
+from .helpers import CLASSES, Driver
 
 BALANCERS = [1, 20, 60, 230]
 PRICE = 0.03
@@ -154,6 +155,19 @@
     assert fleet.used(new) > 0
 
 
+@pytest.mark.parametrize("returns", [False, True])
+@pytest.mark.parametrize("balancers", [20, 60, 230])
+def test_the_clients_of_balancers_that_were_killed_leave_cold_servers_standing(
+    balancers: int, returns: bool
+) -> None:
+    """Seven in ten are gone, and the others see all of the traffic; the settings count them all."""
+    shares = tuple(1.0 if rank % 10 < 3 else 1e-6 for rank in range(balancers))
+    plan = Plan(balancers, ALIKE, cold_settings(), shares=shares, list_delay=SECOND, returns=returns)
+    fleet, new = play(plan, lambda server: server.id % 2 == 0)
+    stands(fleet)
+    assert fleet.used(new) > 0.1
+
+
 @pytest.mark.parametrize("balancers", BALANCERS)
 def test_servers_that_start_again_under_their_ids_stand(balancers: int) -> None:
     """Some twice, while balancers still hear of the first time."""
@@ -328,6 +342,72 @@
     assert fleet.worst().got == 0
 
 
+# What is paid for
+
+
+def test_first_attempts_fallbacks_hedges_and_trials_at_cold_servers_are_paid_for() -> None:
+    """Whatever becomes of them; what is sent to warm servers costs nothing."""
+    settings = replace(cold_settings(ramp_time=1000), may_hedge=True, may_cancel=True, max_attempts=9)
+    driver = Driver(settings, 0)
+    cold = [Server(number, flavor="x", started=driver.now) for number in range(1, 5)]
+    driver.list_servers((*cold, Server(5, flavor="x")))
+    outcomes = [Outcome.OK, Outcome.REJECTED, Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.TIMEOUT]
+    reserved: dict[bool, set[bool]] = {True: set(), False: set()}
+    tries = 0
+    for number in range(2000):
+        request = driver.ask(cost=10 * MS)
+        for turn, outcome in zip(range(3), outcomes[number % 5 :] + outcomes, strict=False):
+            if turn == 0 and driver.out(request):  # late: its hedge may start beside it
+                driver.now += 200 * MS
+                driver.fire(driver.now, f"{request}:0")
+            pending = driver.balancer._pending.get(request)
+            for attempt in pending.attempts if pending else []:
+                reserved[attempt.server.id < 5].add(attempt.reserved == 10 * MS)
+                tries += attempt.server.id < 5
+            if driver.out(request):
+                driver.end(driver.out(request)[0], outcome)
+        driver.now += 10 * MS
+    assert tries > 50
+    assert reserved == {True: {True}, False: {False}}
+
+
+def test_what_a_cold_server_answered_is_given_back_and_fades() -> None:
+    settings = cold_settings(fall_multiple=3, fall_time=2, ramp_time=1000)
+    slow = SlowStart(settings, Random(1))
+    (host,) = hosts_of([Server(1, flavor="x", started=1)])
+    slow.follow({host: 0.15}, 1, 0)
+    reserved = slow.reserve(host, 10 * MS, 0)
+    assert reserved == 10 * MS
+    assert host.budget.returned == 0
+    slow.answered(host, reserved, 10 * MS, SECOND)
+    assert host.budget.returned == pytest.approx(10 * MS)
+    host.budget.fade(FADE_TIME * settings.fall_time, SECOND + round(FADE_TIME * settings.fall_time))
+    assert host.budget.returned == pytest.approx(10 * MS / e)
+
+
+@pytest.mark.parametrize("fall_multiple", [1.05, 1.5, 2, 3, 4, 20])
+@pytest.mark.parametrize("fall_time", [0.5, 2, 5])
+@pytest.mark.parametrize("connect_time", [0.0, 0.25, 1.5, 10])
+def test_all_that_may_arrive_together_adds_up_to_the_budget(
+    fall_multiple: float, fall_time: float, connect_time: float
+) -> None:
+    """Refilled within the fall time and the connect time, saved up, and given back for what was answered."""
+    slow = SlowStart(cold_settings(fall_multiple, fall_time, connect_time), Random(1))
+    refilled = slow._refilled * (fall_time + connect_time + SAVED_TIME * fall_time) / fall_time
+    returned = slow._returned / fall_multiple * (1 + FADE_TIME)
+    assert refilled + returned == pytest.approx(1)
+    assert 0 < slow._returned <= 1
+    assert refilled > 0.37
+
+
+@pytest.mark.parametrize("size", [0.0, -1.0, 1e300, -1e300, 1e-300])
+def test_sizes_that_make_no_sense_count_as_one(size: float) -> None:
+    slow = SlowStart(cold_settings(weights_are_sizes=True), Random(1))
+    hosts = hosts_of([Server(1, flavor="x", weight=size), Server(2, flavor="x", weight=1.0)])
+    slow.follow(dict.fromkeys(hosts, 1.0), 1, 0)
+    assert [host.demand for host in hosts] == [1.0, 1.0]
+
+
 # How a balancer works out its part
 
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -387,6 +387,19 @@
         assert not host.requests
 
 
+@scenario
+async def test_an_attempt_still_connecting_when_its_host_restarts_is_not_sent() -> None:
+    """It was decided on while the host was warm; the new process, at the same address, is cold."""
+    async with peers(says()) as (host,):
+        sender = Sender(host.port)
+        sender.start()
+        member = Member(Server(HOST, started=5), ("127.0.0.1", host.port))
+        sender.upstream.update([member], complete=False)
+        assert [outcome for outcome, _ in sender.ends] == [Outcome.NOT_SENT]
+        await until(lambda: sender.upstream.open == 0)
+        assert not host.requests
+
+
 @scenario
 async def test_a_restarted_host_gets_a_new_connection() -> None:
     async with peers(says()) as (host,):
