Let the bucket of a cold host hold a quarter of a fall time's refill at first

Buckets started empty, though what may be saved up is part of the budget from the first moment.

Change: a bucket starts with a quarter of a fall time's refill, half of what may be saved up.

--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -354,7 +354,7 @@
     outcomes = [Outcome.OK, Outcome.REJECTED, Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.TIMEOUT]
     reserved: dict[bool, set[bool]] = {True: set(), False: set()}
     tries = 0
-    for number in range(2000):
+    for number in range(6000):
         request = driver.ask(cost=10 * MS)
         for turn, outcome in zip(range(3), outcomes[number % 5 :] + outcomes, strict=False):
             if turn == 0 and driver.out(request):  # late: its hedge may start beside it
@@ -477,7 +477,7 @@
 
 
 def test_a_server_outside_the_subset_gets_a_trickle_only() -> None:
-    """From all balancers together one request each fall time."""
+    """From all balancers together one request each fall time, of two seconds here."""
     balancers, cost, seconds = 10, 10 * MS, 400
     settings = replace(cold_settings(ramp_time=10_000), balancers=balancers)
     slow = SlowStart(settings, Random(1))
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -10,7 +10,7 @@
 from random import Random
 
 from whinrouter.breaker import Breaker
-from whinrouter.host import Budget, Host
+from whinrouter.host import Host
 from whinrouter.idempotency import may_go_to, may_refuse, repeat_by
 from whinrouter.interface import (
     SECOND, Action, Attempt, AttemptEnded, Cancel, Effect, Event, Fail, Outcome, Pending, Refuse, Request,
@@ -93,7 +93,7 @@
                 self._hosts.pop(server, None)
             elif known is None or known.info.started != info.started:
                 # A restarted server is a new one: cold, and its breaker fresh.
-                fresh = Host(info, self._random, Breaker(self._random), Budget(now))
+                fresh = Host(info, self._random, Breaker(self._random), self._slow_start.new_budget(now))
                 fresh.balancers = self._settings.balancers
                 self._hosts[server] = fresh
             else:
--- a/whinrouter/slow_start.py
+++ b/whinrouter/slow_start.py
@@ -25,7 +25,8 @@
 
 A is 1, or less where the second line would take more than `RETURNED_PART` of N, and R is such that both add
 up to N. A server stands two requests more than N, and 2 x root of N for chance. So where nothing is known
-yet, and from outside the subset, all balancers together still send one request each fall time.
+yet, and from outside the subset, all balancers together still send one request each fall time, or each time
+over which rates are averaged, if that is longer.
 """
 
 from __future__ import annotations
@@ -35,12 +36,15 @@
 from math import exp
 from random import Random
 
-from whinrouter.host import Host
+from whinrouter.host import Budget, Host
 from whinrouter.interface import SECOND, Server, Settings
 from whinrouter.subset import zone_weights
 
 RETURNED_PART = 0.625  # of N, at most, for what a server has answered
 SAVED_TIME = 0.5  # fall times for which a balancer saves up what it doesn't send
+# Fall times of refill that a bucket holds at first. All balancers meet a server at about the same time, and
+# what they send then comes together, so it is less than what each may save up.
+FIRST_SAVED_TIME = 0.25
 FADE_TIME = 0.25  # fall times within which what was given back fades by 1/e
 RATE_WINDOW = 2 * SECOND  # over which the work of warm servers is averaged while there are any
 # Over which it is averaged once none of a flavor is left: as they leave one by one, the last ones serve a few
@@ -139,6 +143,10 @@
         for flavor, load in self._loads.items():
             load.follow(warm[flavor], now)
 
+    def new_budget(self, now: int) -> Budget:
+        """The bucket of a server that is met."""
+        return Budget(now - round(FIRST_SAVED_TIME * self._settings.fall_time))
+
     def admits(self, host: Host, cost: float, now: int) -> bool:
         """Whether a server is warm, or its bucket holds a request of such a cost.
 
@@ -177,7 +185,7 @@
         Work asked for would not do: retries swell it. Nor would what the cold ones did: less than their share
         where they were given less, and that holds them down for as long as most of them are cold.
         """
-        trickle = cost / self._settings.fall_time / self._settings.balancers
+        trickle = cost / max(self._settings.fall_time, RATE_WINDOW) / self._settings.balancers
         if not host.own:
             return trickle
         warm_rate = self._loads[host.info.flavor].rate(now) * host.demand
