Add failing tests of final answers from processes that are held up

The tests run a real gateway over loopback, with an endpoint that never responds. SIGSTOP, or a small preload library of ours, holds the process up for 0.14 s: before it reads the request (connection open, and connection in the backlog), after each of the first twelve reads of the monotonic clock that follow the request, and before the final answer is sent.

--- /dev/null
+++ b/tests/integration/test_held_up_process.py
@@ -0,0 +1,99 @@
+"""Final answers of gateway processes that are held up, over loopback connections.
+
+The pages allow hold-ups of up to 0.15 s at any place. The final answer is due within the client's time and
+0.05 s more, counted from the moment in which the client has sent the request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from tests.support.discovery import accept_watch_without_changes
+from tests.support.loopback import (
+    LoopbackClient,
+    LoopbackPeer,
+    async_test,
+    never_respond,
+    request_bytes,
+    start_peers,
+)
+from tests.support.service import config_document, listening_port, running_service
+from tests.support.syscall_faults import build_library, fault_variables
+
+HOLD_UP_S = 0.14
+CLIENT_TIMEOUT_S = 0.6
+ANSWER_SLACK_S = 0.05
+REQUEST = {"X-Deadline": str(CLIENT_TIMEOUT_S)}
+# Reads of the monotonic clock between the receipt of a request and the end of its first attempt's start.
+CLOCK_READS = range(1, 13)
+
+
+@pytest.fixture(scope="session")
+def library(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    return build_library(tmp_path_factory.mktemp("faults"))
+
+
+@asynccontextmanager
+async def silent_endpoint_gateway(
+    folder: Path, **variables: str
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, int, LoopbackPeer]]:
+    """Run a gateway whose only endpoint never responds; yields process, port and endpoint."""
+    async with start_peers(never_respond, accept_watch_without_changes) as (endpoint, discovery):
+        config = config_document(discovery.port, endpoint.list_entry())
+        async with running_service(folder, config, 0, **variables) as process:
+            yield process, await listening_port(process), endpoint
+
+
+async def answer_time_s(client: LoopbackClient, sent_at_s: float) -> float:
+    """Wait for the final answer and return the time since the request was sent."""
+    await client.response()
+    return time.monotonic() - sent_at_s
+
+
+@async_test
+async def test_request_that_arrives_while_the_process_is_held_up_is_answered_in_time(tmp_path: Path) -> None:
+    async with silent_endpoint_gateway(tmp_path) as (process, port, _):
+        client = await LoopbackClient.connect(port)
+        for connects_during_hold_up in (False, True):
+            process.send_signal(signal.SIGSTOP)
+            if connects_during_hold_up:
+                client = await LoopbackClient.connect(port)
+            sent_at_s = time.monotonic()
+            client.writer.write(request_bytes(headers=REQUEST))
+            await asyncio.sleep(HOLD_UP_S)
+            process.send_signal(signal.SIGCONT)
+            assert await answer_time_s(client, sent_at_s) <= CLIENT_TIMEOUT_S + ANSWER_SLACK_S
+
+
+@async_test
+async def test_hold_up_after_any_read_of_the_clock_delays_no_answer(tmp_path: Path, library: Path) -> None:
+    late: dict[int, float] = {}
+    for clock_read in CLOCK_READS:
+        faults = fault_variables(library, hold_up_ms=round(1000 * HOLD_UP_S), at_clock_read=clock_read)
+        async with silent_endpoint_gateway(tmp_path, **faults) as (_, port, _):
+            client = await LoopbackClient.connect(port)
+            sent_at_s = time.monotonic()
+            client.writer.write(request_bytes(headers=REQUEST))
+            answered_after_s = await answer_time_s(client, sent_at_s)
+            if answered_after_s > CLIENT_TIMEOUT_S + ANSWER_SLACK_S:
+                late[clock_read] = answered_after_s
+    assert late == {}
+
+
+@async_test
+async def test_hold_up_before_the_final_answer_is_sent_keeps_it_in_time(
+    tmp_path: Path, library: Path
+) -> None:
+    faults = fault_variables(library, hold_up_ms=round(1000 * HOLD_UP_S), at_response_prefix="HTTP/1.1 50")
+    async with silent_endpoint_gateway(tmp_path, **faults) as (_, port, _):
+        client = await LoopbackClient.connect(port)
+        sent_at_s = time.monotonic()
+        client.writer.write(request_bytes(headers=REQUEST))
+        assert await answer_time_s(client, sent_at_s) <= CLIENT_TIMEOUT_S + ANSWER_SLACK_S
