Accept again within 10 ms after a failed accept, and at shutdown too

What callers saw: a gateway whose accept fails for a moment (ENFILE, ENOBUFS, ECONNABORTED) left new connections unanswered for up to a second, and reset those in its backlog at shutdown.

Cause: asyncio's own server stops accepting for a second after ENFILE, EMFILE, ENOBUFS or ENOMEM, and `accept_backlog` ended at the first OSError of any kind, also one that concerns a single connection. The client's time runs meanwhile. The new `Acceptor` goes on after a failure, and pauses for 10 ms after three in a row. At shutdown it goes on until the backlog is empty, or until 20 retries in a row have failed.

--- a/http_gateway/net/frontend/listener.py
+++ b/http_gateway/net/frontend/listener.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 from collections.abc import Set as AbstractSet
 
+from http_gateway.net.frontend.acceptor import Acceptor
 from http_gateway.net.frontend.client_connection import ClientConnection, FrontendState
 from http_gateway.net.frontend.connection_limits import BufferLimit, ConnectionLimits
 from http_gateway.net.frontend.in_flight_request import RequestIdRegistry
@@ -17,8 +17,6 @@
 
 TIMEOUT_CHECK_INTERVAL_S = 0.25  # time between two checks for expired connection timeouts
 BACKLOG_LENGTH = 512  # connections that the operating system queues until they are accepted
-ACCEPT_BATCH_SIZE = 16  # connections accepted at once; each uses a file descriptor before it is counted
-ACCEPT_LOOP_ITERATIONS = 3  # event loop iterations between `accept` and `connection_made`
 
 
 class Frontend:
@@ -41,8 +39,7 @@
             shutdown,
         )
         self._loop = asyncio.get_running_loop()
-        self._server: asyncio.Server | None = None
-        self._listener: socket.socket | None = None
+        self._acceptor: Acceptor | None = None
 
     @property
     def connections(self) -> AbstractSet[ClientConnection]:
@@ -92,7 +89,7 @@
             raise
         return listener
 
-    async def listen(self, listener: socket.socket) -> int:
+    def listen(self, listener: socket.socket) -> int:
         """Accept connections on a bound socket.
 
         Args:
@@ -101,13 +98,10 @@
         Returns:
             The port of the socket.
         """
-        self._listener = listener
-        self._server = await self._loop.create_server(
-            self._create_connection, sock=listener, backlog=ACCEPT_BATCH_SIZE
-        )
-        # asyncio uses `backlog` both as the queue length and as the number of connections accepted at once.
-        # This call changes only the queue length.
+        listener.setblocking(False)
         listener.listen(BACKLOG_LENGTH)
+        self._acceptor = Acceptor(listener, self._create_connection)
+        self._acceptor.start()
         self._loop.call_later(TIMEOUT_CHECK_INTERVAL_S, self._enforce_timeouts)
         return int(listener.getsockname()[1])
 
@@ -121,27 +115,16 @@
 
     def stop_accepting(self) -> None:
         """Stop accepting connections, and close the connections that are between requests."""
-        if self._server is not None:
-            self._server.close()
+        acceptor, self._acceptor = self._acceptor, None
+        if acceptor is not None:
+            acceptor.stop()
         for connection in list(self.connections):
             connection.close_if_idle()
 
     async def accept_backlog(self) -> None:
-        """Accept all connections in the backlog, which the system would reset when the listener is closed.
-
-        The event loop must not run between the last accept and `stop_accepting`, because another connection
-        could be accepted meanwhile.
-        """
-        if self._listener is None:
-            return
-        self._loop.remove_reader(self._listener)
-        for _ in range(ACCEPT_LOOP_ITERATIONS):
-            await asyncio.sleep(0)
-        with contextlib.suppress(OSError):  # the backlog is empty, or no file descriptor is left
-            while True:
-                accepted, _ = self._listener.accept()
-                accepted.setblocking(False)
-                await self._loop.connect_accepted_socket(self._create_connection, accepted)
+        """Accept all connections in the backlog; `stop_accepting` must be called right after it."""
+        if self._acceptor is not None:
+            await self._acceptor.accept_all()
 
     def _create_connection(self) -> ClientConnection:
         return ClientConnection(self._state)
--- a/http_gateway/service.py
+++ b/http_gateway/service.py
@@ -82,7 +82,7 @@
         try:
             self._enable_reload(early_sighups)
             await self._wait_for_first_list()
-            await self._listen(listener)
+            self._listen(listener)
             await self._stop_requested.wait()
             await self._shut_down()
         finally:
@@ -114,8 +114,8 @@
         if not service_responded.is_set():
             log.warning("discovery has not responded, using the cached endpoint list")
 
-    async def _listen(self, listener: socket.socket) -> None:
-        port = await self._frontend.listen(listener)
+    def _listen(self, listener: socket.socket) -> None:
+        port = self._frontend.listen(listener)
         self._lag_monitor.start()
         # Objects created during startup live until exit. Excluding them from garbage collection keeps later
         # collections short, so that these do not delay the event loop.
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -352,7 +352,7 @@
     if entries:
         dispatcher.update_endpoints(EndpointList(1, True, entries))
     frontend = Frontend(dispatcher, settings, max_connections)
-    port = await frontend.listen(frontend.bind("127.0.0.1", 0))
+    port = frontend.listen(frontend.bind("127.0.0.1", 0))
     try:
         yield RunningGateway(dispatcher, pool, frontend, balancer, port)
     finally:
