Log the way of each request, and how long it may have waited to be read

What was missed in the incident: the logs tell that the event loop was late, but not which requests that delayed, what became of them, or why their connections ended.

`PROXY_LOG_LEVEL=DEBUG` logs each request's arrival, attempts, outcomes and final answer with its ids. A connection's first bytes may be as old as the backlog's last emptying. Nothing uses these times for a decision yet.

--- a/http_gateway/net/client_request.py
+++ b/http_gateway/net/client_request.py
@@ -35,6 +35,8 @@
         key: Routing key, if the client gave one.
         is_client_retry: Whether the client marked the request as a retry.
         tenant: Tenant that the request belongs to; empty if the client gave none.
+        arrived_after_s: Event loop time, in seconds, after which the last byte of the request arrived; None
+            if it is unknown.
     """
 
     message: Message
@@ -44,3 +46,9 @@
     key: str | None = None
     is_client_retry: bool = False
     tenant: str = ""
+    arrived_after_s: float | None = None
+
+    @property
+    def id(self) -> str:
+        """The X-Request-Id that the client has sent; empty if there is none."""
+        return self.message.header(b"x-request-id") or ""
--- a/http_gateway/net/clock.py
+++ b/http_gateway/net/clock.py
@@ -5,6 +5,7 @@
 import time
 
 _NS_PER_US = 1_000
+_NS_PER_S = 1_000_000_000
 
 
 class Clock:
@@ -20,3 +21,7 @@
     def now_us(self) -> int:
         """Return the current Unix time in microseconds."""
         return (self._epoch_offset_ns + time.monotonic_ns()) // _NS_PER_US
+
+    def from_monotonic_s(self, monotonic_s: float) -> int:
+        """Convert a time of the monotonic clock, in seconds, which is also the event loop's clock."""
+        return (self._epoch_offset_ns + round(monotonic_s * _NS_PER_S)) // _NS_PER_US
--- a/http_gateway/net/frontend/acceptor.py
+++ b/http_gateway/net/frontend/acceptor.py
@@ -8,6 +8,8 @@
 import socket
 from collections.abc import Callable
 
+from http_gateway.net.event_loop import PollTimes
+
 log = logging.getLogger(__name__)
 
 # Connections accepted in one iteration of the event loop; each uses a file descriptor before it is counted.
@@ -17,7 +19,7 @@
 RETRY_DELAY_S = 0.01
 MAX_RETRIES_AT_SHUTDOWN = 20  # without a connection accepted in between
 
-ConnectionFactory = Callable[[], asyncio.BaseProtocol]
+ConnectionFactory = Callable[[float | None], asyncio.BaseProtocol]
 
 
 class Acceptor:
@@ -28,15 +30,23 @@
 
     Args:
         listener: A listening socket in non-blocking mode.
-        create_connection: Creates the protocol of a connection.
+        poll_times: The poll times of the event loop.
+        create_connection: Creates the protocol of a connection. Its argument is the loop time after which the
+            client connected; None if it is unknown.
     """
 
-    def __init__(self, listener: socket.socket, create_connection: ConnectionFactory) -> None:
+    def __init__(
+        self, listener: socket.socket, poll_times: PollTimes, create_connection: ConnectionFactory
+    ) -> None:
         self._listener = listener
+        self._poll_times = poll_times
         self._create_connection = create_connection
         self._loop = asyncio.get_running_loop()
         self._set_up_tasks: set[asyncio.Task[None]] = set()
         self._retry_timer: asyncio.TimerHandle | None = None
+        # Whether the backlog was not emptied by the last call, and after which time its connections arrived.
+        self._has_backlog = False
+        self._backlog_after_s: float | None = None
 
     def start(self) -> None:
         """Accept connections from now on."""
@@ -83,11 +93,15 @@
 
     def _accept_batch(self) -> bool:
         """Accept up to `BATCH_SIZE` connections, and return whether the backlog is empty then."""
+        if not self._has_backlog:
+            self._backlog_after_s = self._poll_times.events_after_s
+        self._has_backlog = True
         failures_in_a_row = 0
         for _ in range(BATCH_SIZE):
             try:
                 accepted, _ = self._listener.accept()
             except BlockingIOError:
+                self._has_backlog = False
                 return True
             except OSError as error:
                 name = errno.errorcode.get(error.errno or 0, "unknown")
@@ -101,13 +115,15 @@
         return False
 
     def _start_set_up(self, accepted: socket.socket) -> None:
-        task = self._loop.create_task(self._set_up(accepted))
+        task = self._loop.create_task(self._set_up(accepted, self._backlog_after_s))
         self._set_up_tasks.add(task)
         task.add_done_callback(self._set_up_tasks.discard)
 
-    async def _set_up(self, accepted: socket.socket) -> None:
+    async def _set_up(self, accepted: socket.socket, connected_after_s: float | None) -> None:
         try:
-            await self._loop.connect_accepted_socket(self._create_connection, accepted)
+            await self._loop.connect_accepted_socket(
+                lambda: self._create_connection(connected_after_s), accepted
+            )
         except OSError as error:
             log.warning('connection set-up failed reason="%s"', error)
             accepted.close()
--- a/http_gateway/net/frontend/client_connection.py
+++ b/http_gateway/net/frontend/client_connection.py
@@ -8,14 +8,15 @@
 from typing import NamedTuple
 
 from http_gateway.net.client_request import Response
+from http_gateway.net.event_loop import PollTimes
+from http_gateway.net.frontend.arrival_times import ArrivalTimes
 from http_gateway.net.frontend.client_transport import ClientTransport
 from http_gateway.net.frontend.connection_limits import BufferLimit, ConnectionLimits
 from http_gateway.net.frontend.in_flight_request import InFlightRequest, RequestIdRegistry
 from http_gateway.net.frontend.request_parsing import InvalidRequestError, RequestParser
-from http_gateway.net.frontend.request_queue import RequestQueue
+from http_gateway.net.frontend.request_queue import ReceivedRequest, RequestQueue
 from http_gateway.net.frontend.shutdown_state import ShutdownState
-from http_gateway.net.http.messages import Message
-from http_gateway.net.http.shared_buffer import SharedBufferProtocol
+from http_gateway.net.http.shared_buffer import RECEIVE_BUFFER_BYTES, SharedBufferProtocol
 from http_gateway.net.http.writer import write_response
 from http_gateway.net.request_dispatcher import RequestDispatcher
 
@@ -49,14 +50,19 @@
 
     Args:
         frontend: State that all client connections share.
+        poll_times: The poll times of the event loop.
+        connected_after_s: Loop time after which the client connected; None if it is unknown.
     """
 
-    def __init__(self, frontend: FrontendState) -> None:
+    def __init__(
+        self, frontend: FrontendState, poll_times: PollTimes, connected_after_s: float | None
+    ) -> None:
         super().__init__()
         self.transport: ClientTransport  # set by `connection_made`
         self.requests = RequestQueue(frontend.buffer_limit)
         self.in_flight = InFlightRequest(frontend.dispatcher, frontend.request_id_registry)
         self._frontend = frontend
+        self._arrival_times = ArrivalTimes(poll_times, connected_after_s)
         self._loop = asyncio.get_running_loop()
         self._is_reading = True
         self._is_over_limit = False
@@ -106,6 +112,7 @@
         """Register the connection and start its receive timeout, or abort it if there are too many."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = ClientTransport(transport)
+        self._arrival_times.reading_started()
         if self._frontend.limits.admit(self):
             self._frontend.limits.start_receive_timeout(self)
         else:
@@ -114,9 +121,10 @@
 
     def on_data(self, data: memoryview) -> None:
         """Parse received bytes and handle the requests that they complete."""
+        arrived_after_s = self._arrival_times.on_read(is_buffer_full=len(data) == RECEIVE_BUFFER_BYTES)
         if not self._is_reading:
             return
-        self.requests.feed(data)
+        self.requests.feed(data, arrived_after_s)
         if self.requests.error is not None:
             self._reject(self.requests.error.status)
         elif self.requests.is_over_limit:
@@ -177,24 +185,26 @@
 
     def _handle_queued_requests(self) -> None:
         while self.requests and not self.in_flight.is_active and not self._is_writing_paused:
-            message = self.requests.pop()
+            request = self.requests.pop()
+            message = request.message
             self.in_flight.begin()
             self._frontend.limits.stop_timeout(self)
             self._closes_after_response = self._closes_after_response or not message.keep_alive
             try:
-                self._handle_request(message)
+                self._handle_request(request)
             except InvalidRequestError as error:
                 self._reject(error.status)
             except Exception:
                 log.exception('request handling failed request_id="%s"', message.header(b"x-request-id"))
                 self._respond(Response(HTTPStatus.INTERNAL_SERVER_ERROR))
 
-    def _handle_request(self, message: Message) -> None:
+    def _handle_request(self, request: ReceivedRequest) -> None:
+        message = request.message
         if message.target == b"/up" and message.method == b"GET":
             status = HTTPStatus.OK if self._frontend.is_ready else HTTPStatus.SERVICE_UNAVAILABLE
             self._respond(Response(status))
             return
-        client_request = self._frontend.request_parser.parse(message)
+        client_request = self._frontend.request_parser.parse(message, request.arrived_after_s)
         self.in_flight.submit(client_request, self._respond, self._has_client_disconnected)
 
     def _has_client_disconnected(self) -> bool:
--- a/http_gateway/net/frontend/in_flight_request.py
+++ b/http_gateway/net/frontend/in_flight_request.py
@@ -86,7 +86,7 @@
         Raises:
             InvalidRequestError: A request with the same id is in flight.
         """
-        client_request_id = client_request.message.header(b"x-request-id") or ""
+        client_request_id = client_request.id
         self._registry.reserve(client_request_id)
         self._client_request_id = client_request_id
         request_id = self._dispatcher.submit(client_request, respond, has_client_disconnected)
--- a/http_gateway/net/frontend/listener.py
+++ b/http_gateway/net/frontend/listener.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Set as AbstractSet
 
+from http_gateway.net.event_loop import running_poll_times
 from http_gateway.net.frontend.acceptor import Acceptor
 from http_gateway.net.frontend.client_connection import ClientConnection, FrontendState
 from http_gateway.net.frontend.connection_limits import BufferLimit, ConnectionLimits
@@ -39,6 +40,7 @@
             shutdown,
         )
         self._loop = asyncio.get_running_loop()
+        self._poll_times = running_poll_times()
         self._acceptor: Acceptor | None = None
 
     @property
@@ -100,7 +102,7 @@
         """
         listener.setblocking(False)
         listener.listen(BACKLOG_LENGTH)
-        self._acceptor = Acceptor(listener, self._create_connection)
+        self._acceptor = Acceptor(listener, self._poll_times, self._create_connection)
         self._acceptor.start()
         self._loop.call_later(TIMEOUT_CHECK_INTERVAL_S, self._enforce_timeouts)
         return int(listener.getsockname()[1])
@@ -126,8 +128,8 @@
         if self._acceptor is not None:
             await self._acceptor.accept_all()
 
-    def _create_connection(self) -> ClientConnection:
-        return ClientConnection(self._state)
+    def _create_connection(self, connected_after_s: float | None) -> ClientConnection:
+        return ClientConnection(self._state, self._poll_times, connected_after_s)
 
     def _enforce_timeouts(self) -> None:
         self._state.limits.enforce_timeouts()
--- a/http_gateway/net/frontend/request_parsing.py
+++ b/http_gateway/net/frontend/request_parsing.py
@@ -36,11 +36,12 @@
         self._classes = {request_class.name: request_class for request_class in classes}
         self._time_left_s = time_left_s
 
-    def parse(self, message: Message) -> ClientRequest:
+    def parse(self, message: Message, arrived_after_s: float | None = None) -> ClientRequest:
         """Parse a message.
 
         Args:
             message: A complete HTTP request.
+            arrived_after_s: Loop time after which its last byte arrived; None if it is unknown.
 
         Returns:
             The request for the dispatcher.
@@ -62,6 +63,7 @@
             _decode_latin1(headers.get(b"x-key")),
             message.header(b"x-retry") == "1",
             _decode_latin1(headers.get(b"x-tenant")) or "",
+            arrived_after_s,
         )
 
     def _request_class(self, message: Message, headers: Mapping[bytes, bytes]) -> RequestClass:
--- a/http_gateway/net/frontend/request_queue.py
+++ b/http_gateway/net/frontend/request_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import NamedTuple
 
 from http_gateway.net.frontend.connection_limits import BufferLimit
 from http_gateway.net.http.messages import MalformedMessageError, Message
@@ -11,6 +12,13 @@
 MAX_QUEUED_REQUESTS = 4  # pipelined requests on one connection; most clients do not pipeline
 
 
+class ReceivedRequest(NamedTuple):
+    """A complete request, and the loop time after which its last byte arrived; None if it is unknown."""
+
+    message: Message
+    arrived_after_s: float | None
+
+
 class RequestQueue:
     """The requests received on one client connection that are not in flight yet.
 
@@ -23,7 +31,7 @@
     def __init__(self, buffer_limit: BufferLimit) -> None:
         self._buffer_limit = buffer_limit
         self._reader = RequestReader()
-        self._queue: deque[Message] = deque()
+        self._queue: deque[ReceivedRequest] = deque()
         self._counted_bytes = 0  # number of bytes that this connection has added to `buffer_limit`
 
     def __len__(self) -> int:
@@ -50,24 +58,25 @@
         """Number of requests that have started to arrive on this connection, including complete ones."""
         return self._reader.started_message_count
 
-    def feed(self, data: memoryview) -> None:
+    def feed(self, data: memoryview, arrived_after_s: float | None) -> None:
         """Parse received bytes and queue the requests that they complete.
 
         Args:
             data: The received bytes; `feed` must not be called after an `error`.
+            arrived_after_s: Loop time after which the bytes arrived; None if it is unknown.
         """
-        self._queue.extend(self._reader.feed(data))
+        self._queue.extend(ReceivedRequest(message, arrived_after_s) for message in self._reader.feed(data))
         self._count_bytes()
 
-    def pop(self) -> Message:
+    def pop(self) -> ReceivedRequest:
         """Remove and return the oldest request.
 
         Raises:
             IndexError: The queue is empty.
         """
-        message = self._queue.popleft()
+        request = self._queue.popleft()
         self._count_bytes()
-        return message
+        return request
 
     def consume_continue_expectation(self) -> bool:
         """Return whether the client waits for a 100 (Continue) response; true only once for each request."""
@@ -87,6 +96,8 @@
         self._reader.close()
 
     def _count_bytes(self) -> None:
-        buffered_bytes = sum(len(message.body) for message in self._queue) + self._reader.buffered_bytes
+        buffered_bytes = (
+            sum(len(request.message.body) for request in self._queue) + self._reader.buffered_bytes
+        )
         self._buffer_limit.adjust(buffered_bytes - self._counted_bytes)
         self._counted_bytes = buffered_bytes
--- a/http_gateway/net/http/shared_buffer.py
+++ b/http_gateway/net/http/shared_buffer.py
@@ -6,8 +6,8 @@
 
 # Each read is handled before the next one, so all connections can share one buffer. Without it, asyncio would
 # allocate 256 KiB for each read.
-_BUFFER_BYTES = 64 * 1024
-_BUFFER = memoryview(bytearray(_BUFFER_BYTES))
+RECEIVE_BUFFER_BYTES = 64 * 1024
+_BUFFER = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
 
 
 class SharedBufferProtocol(asyncio.BufferedProtocol):
--- a/http_gateway/net/log_rate_limit.py
+++ b/http_gateway/net/log_rate_limit.py
@@ -8,7 +8,7 @@
 
 
 class LogRateLimiter(logging.Filter):
-    """Passes one line per message template and interval, and suppresses the others.
+    """Passes one line per message template and interval, and suppresses the others; passes all DEBUG lines.
 
     The next line that passes reports how many were suppressed. The template is the message before its
     arguments are filled in. The state is therefore bounded by the number of log calls in the source code.
@@ -21,6 +21,8 @@
 
     def filter(self, record: logging.LogRecord) -> bool:
         """Return whether a line passes, and append the number of suppressed lines to its message."""
+        if record.levelno <= logging.DEBUG:  # switched on to follow each request
+            return True
         message = str(record.msg)
         if record.created < self._last_passed_at_s.get(message, 0.0) + MIN_INTERVAL_S:
             self._suppressed_counts[message] = self._suppressed_counts.get(message, 0) + 1
--- a/http_gateway/net/request_dispatcher.py
+++ b/http_gateway/net/request_dispatcher.py
@@ -19,6 +19,14 @@
 from http_gateway.net.discovery.endpoint_list import EndpointList
 from http_gateway.net.dispatched_request import DispatchedRequest, time_out
 from http_gateway.net.http.messages import Message
+from http_gateway.net.request_log import (
+    log_abandoned,
+    log_answered,
+    log_attempt_ended,
+    log_attempt_started,
+    log_deadline_reached,
+    log_received,
+)
 from http_gateway.net.upstream.attempt import UpstreamAttempt
 from http_gateway.net.upstream.pool import UpstreamPool
 from http_gateway.policy.actions import (
@@ -124,17 +132,26 @@
         self._submitted_count += 1
         request_id = self._submitted_count
         timeout_us = max(1, client_request.timeout_us - RESPONSE_MARGIN_US)
-        deadline_at_us = self._clock.now_us() + timeout_us
+        now_us = self._clock.now_us()
+        deadline_at_us = now_us + timeout_us
+        log_received(request_id, client_request, now_us - self._arrived_after_us(client_request, now_us))
         request = DispatchedRequest(client_request, respond, has_client_disconnected, deadline_at_us)
         self._requests[request_id] = request
         self._start_deadline_timer(request_id, request, timeout_us)
         self._dispatch_event(_request_arrived_event(request_id, client_request, timeout_us))
         return request_id
 
+    def _arrived_after_us(self, client_request: ClientRequest, now_us: int) -> int:
+        """Return the time on the gateway's clock after which a request arrived; now if it is unknown."""
+        if client_request.arrived_after_s is None:
+            return now_us
+        return self._clock.from_monotonic_s(client_request.arrived_after_s)
+
     def abandon(self, request_id: RequestId) -> None:
         """Abandon a request whose client has disconnected: no response and no further attempt is sent."""
         request = self._requests.get(request_id)
         if request is not None and request.needs_response:
+            log_abandoned(request_id, request, self._clock.now_us())
             request.abandon()
             self._dispatch_event(RequestAbandoned(request_id))
             self._release_if_answered(request_id)
@@ -192,6 +209,7 @@
         request = self._requests[action.request_id]
         now_us = self._clock.now_us()
         number = request.add_attempt(action.endpoint_id, now_us)
+        log_attempt_started(action.request_id, request, number)
         attempt = request.attempts[number]
         expires_at_us = min(action.expires_at_us or request.deadline_at_us, request.deadline_at_us)
         upstream_attempt = None
@@ -244,15 +262,17 @@
         request = self._requests[request_id]
         attempt = request.attempts[attempt_number]
         attempt.end()
+        now_us = self._clock.now_us()
+        log_attempt_ended(request_id, request, attempt_number, outcome, now_us)
         if outcome is Outcome.OK and response is not None:
-            request.respond(Response(HTTPStatus.OK, response.headers, response.body))
+            self._respond(request_id, Response(HTTPStatus.OK, response.headers, response.body))
         self._dispatch_event(
             AttemptEnded(
                 request_id,
                 attempt_number,
                 attempt.endpoint_id,
                 outcome,
-                latency_us=self._clock.now_us() - attempt.started_at_us,
+                latency_us=now_us - attempt.started_at_us,
                 request_completed=not request.needs_response,
             )
         )
@@ -260,7 +280,8 @@
 
     def _respond(self, request_id: RequestId, response: Response) -> None:
         request = self._requests.get(request_id)
-        if request is not None:
+        if request is not None and request.needs_response:
+            log_answered(request_id, request, response.status, self._clock.now_us())
             request.respond(response)
 
     def _release_if_answered(self, request_id: RequestId) -> None:
@@ -294,6 +315,7 @@
         if remaining_us > 0:  # loop timers use a coarser clock than the policy and may fire early
             self._start_deadline_timer(request_id, request, remaining_us)
             return
+        log_deadline_reached(request_id, request)
         request.time_out_attempts()
         self._fail(request_id, HTTPStatus.GATEWAY_TIMEOUT)
 
@@ -303,7 +325,7 @@
         if request is None or not request.needs_response:
             return
         log.error("policy gave no response request_id=%d status=%d", request_id, status)
-        request.respond(Response(status))
+        self._respond(request_id, Response(status))
         self._dispatch_event(RequestAbandoned(request_id))
         request.cancel_attempts()
         self._release_if_answered(request_id)
--- a/http_gateway/service.py
+++ b/http_gateway/service.py
@@ -14,6 +14,7 @@
 from http_gateway.net.config import ConfigError, GatewayConfig, load_config
 from http_gateway.net.config_reload import ConfigReloader
 from http_gateway.net.discovery.client import DiscoveryClient
+from http_gateway.net.event_loop import GatewayEventLoop
 from http_gateway.net.frontend.listener import Frontend
 from http_gateway.net.log_rate_limit import LogRateLimiter
 from http_gateway.net.loop_lag import LoopLagMonitor
@@ -183,10 +184,12 @@
         signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, *_STOP_SIGNALS))
 
 
-def _set_up_logging() -> None:
+def _set_up_logging(level_name: str) -> None:
+    """Write log lines of a level and above to standard error; an unknown level counts as INFO."""
+    level = logging.getLevelNamesMapping().get(level_name.upper(), logging.INFO)
     logging.basicConfig(
         stream=sys.stderr,
-        level=logging.INFO,
+        level=level,
         format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
         datefmt="%H:%M:%S",
     )
@@ -196,13 +199,14 @@
 
 def main() -> int:
     """Run the gateway that the environment variables configure, and return the exit code."""
-    _set_up_logging()
+    _set_up_logging(os.environ.get("PROXY_LOG_LEVEL", ""))
     # Without a handler, SIGHUP would end the process. Until the event loop handles SIGHUP, this handler
     # records each signal. The gateway then reloads the configuration if any signal was recorded.
     early_sighups: list[int] = []
     signal.signal(signal.SIGHUP, lambda signal_number, _: early_sighups.append(signal_number))
     try:
-        asyncio.run(_serve_until_exit(load_config(os.environ), early_sighups))
+        with asyncio.Runner(loop_factory=GatewayEventLoop) as runner:
+            runner.run(_serve_until_exit(load_config(os.environ), early_sighups))
     except ConfigError as error:
         print(f"http_gateway: {error}", file=sys.stderr)
         return EXIT_CONFIG_ERROR
--- a/tests/unit/test_log_rate_limit.py
+++ b/tests/unit/test_log_rate_limit.py
@@ -33,3 +33,11 @@
     later = record_at(102.0, "connect failed port=%d", 4)
     assert limiter.filter(later)
     assert later.getMessage() == "connect failed port=4"
+
+
+def test_debug_lines_are_not_limited() -> None:
+    limiter = LogRateLimiter()
+    for _ in range(3):
+        record = record_at(100.0, "attempt started request_id=%d", 1)
+        record.levelno = logging.DEBUG
+        assert limiter.filter(record)
