--- a/http_gateway/net/request_log.py
+++ b/http_gateway/net/request_log.py
@@ -1,8 +1,8 @@
 """Log lines that follow one request from its arrival to its final answer.
 
 `request_id` is the number that the gateway gives to a request, and `client_request_id` is its X-Request-Id.
-Most lines have the level DEBUG. The level is higher for a request that waited before the gateway read it, that
-reached its deadline, or whose client left.
+Most lines have the level DEBUG. The level is higher for a request that waited to be read, that reached its
+deadline, or whose client left.
 """
 
 from __future__ import annotations
