Count a request's deadline from its arrival, not from the time the gateway reads it

What callers saw: no final answer within the client's time where the gateway process had been held up for some 0.1 s, or the request had waited behind another one on its connection.

Cause: `RequestDispatcher.submit` counted the deadline from the moment in which it was called. What went by before (process held up, backlog, queue of the connection) was the client's time and was not counted; `x-deadline` told the endpoint too much by the same amount.

The deadline now counts from the earliest time at which the request can have arrived: the start of the poll before the one that reported its bytes, or the last time at which the backlog was empty. A request without time left is shed at once, with no attempt and no sign of overload recorded.

Loss: a gateway without traffic polls every 20 ms, so a deadline may be up to 40 ms earlier than it has to be.

--- a/http_gateway/net/request_dispatcher.py
+++ b/http_gateway/net/request_dispatcher.py
@@ -120,6 +120,9 @@
     ) -> RequestId:
         """Submit a client's request to the policy.
 
+        The deadline counts from the earliest time at which the request can have arrived. A request that has
+        no time left is answered at once.
+
         Args:
             client_request: The request and its timeout.
             respond: Called exactly once with the final response, unless the request is abandoned.
@@ -131,10 +134,11 @@
         """
         self._submitted_count += 1
         request_id = self._submitted_count
-        timeout_us = max(1, client_request.timeout_us - RESPONSE_MARGIN_US)
         now_us = self._clock.now_us()
-        deadline_at_us = now_us + timeout_us
-        log_received(request_id, client_request, now_us - self._arrived_after_us(client_request, now_us))
+        arrived_after_us = self._arrived_after_us(client_request, now_us)
+        log_received(request_id, client_request, waited_us=now_us - arrived_after_us)
+        deadline_at_us = arrived_after_us + client_request.timeout_us - RESPONSE_MARGIN_US
+        timeout_us = deadline_at_us - now_us
         request = DispatchedRequest(client_request, respond, has_client_disconnected, deadline_at_us)
         self._requests[request_id] = request
         self._start_deadline_timer(request_id, request, timeout_us)
--- a/http_gateway/policy/balancer.py
+++ b/http_gateway/policy/balancer.py
@@ -109,6 +109,8 @@
         self._endpoints.update_weights_if_due(now_us)
         pending = PendingRequest(request, request_class, now_us, now_us + request.timeout_us)
         self._pending[request.request_id] = pending
+        if request.timeout_us <= 0:
+            return self._shed_or_fail(pending, now_us)
         self._retries.on_request()
         over_quota = self._quotas.is_over_quota(request, now_us)
         cost_us = self._latency.cost_us(pending)
--- a/http_gateway/policy/events.py
+++ b/http_gateway/policy/events.py
@@ -53,7 +53,7 @@
 
     request_id: RequestId
     class_name: str
-    timeout_us: int  # how long the client waits for the final answer
+    timeout_us: int  # how long the client still waits for the final answer; 0 or less if its time is over
     cost_us: int = 0  # expected processor time on a standard core; 0 if unknown
     key: str | None = None  # request key for key affinity; None if it has none
     is_client_retry: bool = False  # marked as a retry by the client; False if clients do not mark retries
--- a/tests/integration/test_held_up_process.py
+++ b/tests/integration/test_held_up_process.py
@@ -72,6 +72,18 @@
             assert await answer_time_s(client, sent_at_s) <= CLIENT_TIMEOUT_S + ANSWER_SLACK_S
 
 
+@async_test
+async def test_pipelined_request_is_answered_in_time_although_it_waits_for_another(tmp_path: Path) -> None:
+    async with silent_endpoint_gateway(tmp_path) as (_, port, _):
+        client = await LoopbackClient.connect(port)
+        sent_at_s = time.monotonic()
+        # The first request waits for its whole timeout; the second one has been received meanwhile.
+        for timeout_s in (CLIENT_TIMEOUT_S - 0.1, CLIENT_TIMEOUT_S):
+            client.writer.write(request_bytes(headers={"X-Deadline": str(timeout_s)}))
+        await client.response()
+        assert await answer_time_s(client, sent_at_s) <= CLIENT_TIMEOUT_S + ANSWER_SLACK_S
+
+
 @async_test
 async def test_hold_up_after_any_read_of_the_clock_delays_no_answer(tmp_path: Path, library: Path) -> None:
     late: dict[int, float] = {}
--- a/tests/unit/policy/test_balancer.py
+++ b/tests/unit/policy/test_balancer.py
@@ -1,4 +1,4 @@
-"""Tests of the events that only the balancer handles: response streams and discovery results."""
+"""Events that only the balancer handles: requests without time, response streams and discovery results."""
 
 from __future__ import annotations
 
@@ -8,9 +8,18 @@
 from http_gateway.policy.balancer import WATCH_RETRY_JITTER, WATCH_RETRY_US, WATCH_TIMER
 from http_gateway.policy.events import ListUpdateKind, Outcome
 from http_gateway.policy.settings import Settings
+from http_gateway.policy.time_units import US_PER_MS
 from tests.support.policy_driver import CLASSES, FinalAnswer, PolicyDriver
 
 
+@pytest.mark.parametrize("timeout_us", [0, -5 * US_PER_MS])
+def test_request_without_time_left_is_shed_at_once(timeout_us: int) -> None:
+    driver = PolicyDriver(Settings(CLASSES))
+    request_id = driver.send_request(timeout_us=timeout_us)
+    assert driver.answers[request_id] == [FinalAnswer.SHED]
+    assert driver.attempts_of(request_id) == []
+
+
 def test_response_stream_cancels_only_the_other_attempts() -> None:
     driver = PolicyDriver(Settings(CLASSES, hedging_allowed=True, cancellation_allowed=True))
     request_id = driver.send_request()
