Set timers for the time that was decided, not for a delay after a later clock read

What callers saw: no final answer in time, with an endpoint that had been told the right deadline.

Cause: `submit` read the clock for the deadline, and `call_later` read it again for the timer. A process held up between the two had its timer late by the hold-up. The same mistake in related code: the timers of the policy, the expiry of an attempt, and the deadline for the last byte of a retry (the end of the deduplication window) were all worked out as "now plus what is left", with two reads of the clock.

All of them are now converted from the gateway's clock to the event loop's, and no second read takes part.

--- a/http_gateway/net/clock.py
+++ b/http_gateway/net/clock.py
@@ -22,6 +22,10 @@
         """Return the current Unix time in microseconds."""
         return (self._epoch_offset_ns + time.monotonic_ns()) // _NS_PER_US
 
+    def to_monotonic_s(self, at_us: int) -> float:
+        """Convert a time of this clock to the monotonic clock, in seconds."""
+        return (at_us * _NS_PER_US - self._epoch_offset_ns) / _NS_PER_S
+
     def from_monotonic_s(self, monotonic_s: float) -> int:
         """Convert a time of the monotonic clock, in seconds, which is also the event loop's clock."""
         return (self._epoch_offset_ns + round(monotonic_s * _NS_PER_S)) // _NS_PER_US
--- a/http_gateway/net/request_dispatcher.py
+++ b/http_gateway/net/request_dispatcher.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from functools import partial
 from http import HTTPStatus
+from typing import TypeVarTuple
 
 from http_gateway.net.client_request import ClientRequest, Response, ResponseCallback
 from http_gateway.net.clock import Clock
@@ -53,9 +54,13 @@
 
 log = logging.getLogger(__name__)
 
+Arguments = TypeVarTuple("Arguments")
+
 # The gateway's deadline for a response is this many microseconds before the client's timeout. The margin
 # covers the network latency in both directions and delays of the event loop.
 RESPONSE_MARGIN_US = 15_000
+# Added to the time of a timer, since the event loop may call back up to its clock's resolution early.
+TIMER_ROUNDING_US = 1
 
 
 class RequestDispatcher:
@@ -138,11 +143,10 @@
         arrived_after_us = self._arrived_after_us(client_request, now_us)
         log_received(request_id, client_request, waited_us=now_us - arrived_after_us)
         deadline_at_us = arrived_after_us + client_request.timeout_us - RESPONSE_MARGIN_US
-        timeout_us = deadline_at_us - now_us
         request = DispatchedRequest(client_request, respond, has_client_disconnected, deadline_at_us)
         self._requests[request_id] = request
-        self._start_deadline_timer(request_id, request, timeout_us)
-        self._dispatch_event(_request_arrived_event(request_id, client_request, timeout_us))
+        self._start_deadline_timer(request_id, request)
+        self._dispatch_event(_request_arrived_event(request_id, client_request, deadline_at_us - now_us))
         return request_id
 
     def _arrived_after_us(self, client_request: ClientRequest, now_us: int) -> int:
@@ -183,8 +187,9 @@
         continue.
         """
         try:
-            for action in self._balancer.handle(event, self._clock.now_us()):
-                self._execute_action(action)
+            now_us = self._clock.now_us()
+            for action in self._balancer.handle(event, now_us):
+                self._execute_action(action, now_us)
             if isinstance(event, RequestArrived | AttemptEnded):
                 self._release_if_answered(event.request_id)
         except Exception:
@@ -192,7 +197,7 @@
             if isinstance(event, RequestArrived | AttemptEnded):
                 self._fail(event.request_id, HTTPStatus.INTERNAL_SERVER_ERROR)
 
-    def _execute_action(self, action: Action) -> None:
+    def _execute_action(self, action: Action, decided_at_us: int) -> None:
         match action:
             case StartAttempt():
                 self._start_attempt(action)
@@ -203,7 +208,7 @@
             case FailRequest(request_id):
                 self._respond(request_id, Response(HTTPStatus.BAD_GATEWAY))
             case SetTimer(delay_us, token):
-                self._loop.call_later(delay_us / US_PER_S, self._dispatch_event, TimerFired(token))
+                self._call_at(decided_at_us + delay_us, self._dispatch_event, TimerFired(token))
             case _:
                 # WatchEndpointList needs no action because the gateway always watches the endpoint list.
                 # CheckHealth is ignored because the gateway sends no health checks.
@@ -218,26 +223,25 @@
         expires_at_us = min(action.expires_at_us or request.deadline_at_us, request.deadline_at_us)
         upstream_attempt = None
         if request.needs_response and expires_at_us > now_us:
-            upstream_attempt = self._start_upstream_attempt(action, request, number, expires_at_us, now_us)
+            upstream_attempt = self._start_upstream_attempt(action, request, number, expires_at_us)
         if upstream_attempt is None:
             self._on_attempt_end(action.request_id, number, Outcome.NOT_SENT, None)
         elif not attempt.has_ended:
             attempt.start(upstream_attempt)
             if expires_at_us < request.deadline_at_us:
-                self._loop.call_later((expires_at_us - now_us) / US_PER_S, time_out, upstream_attempt)
+                self._call_at(expires_at_us, time_out, upstream_attempt)
 
     def _start_upstream_attempt(
-        self, action: StartAttempt, request: DispatchedRequest, number: int, expires_at_us: int, now_us: int
+        self, action: StartAttempt, request: DispatchedRequest, number: int, expires_at_us: int
     ) -> UpstreamAttempt | None:
-        expires_at_s = self._loop.time() + (expires_at_us - now_us) / US_PER_S
         last_byte_deadline_s = math.inf
         if action.last_byte_before_us:
-            last_byte_deadline_s = self._loop.time() + (action.last_byte_before_us - now_us) / US_PER_S
+            last_byte_deadline_s = self._clock.to_monotonic_s(action.last_byte_before_us)
         request.tighten_last_byte_deadline(last_byte_deadline_s)
         return self._pool.start_attempt(
             action.endpoint_id,
             request.client_request.message,
-            expires_at_s,
+            self._clock.to_monotonic_s(expires_at_us),
             on_end=partial(self._on_attempt_end, action.request_id, number),
             is_client_waiting=partial(self._is_client_waiting, action.request_id),
             last_byte_deadline_s=last_byte_deadline_s,
@@ -301,11 +305,18 @@
             request.cancel_deadline_timer()
             del self._requests[request_id]
 
-    def _start_deadline_timer(
-        self, request_id: RequestId, request: DispatchedRequest, remaining_us: int
-    ) -> None:
-        timer = self._loop.call_later(remaining_us / US_PER_S, self._on_deadline, request_id)
-        request.set_deadline_timer(timer)
+    def _start_deadline_timer(self, request_id: RequestId, request: DispatchedRequest) -> None:
+        request.set_deadline_timer(self._call_at(request.deadline_at_us, self._on_deadline, request_id))
+
+    def _call_at(
+        self, at_us: int, callback: Callable[[*Arguments], object], *arguments: *Arguments
+    ) -> asyncio.TimerHandle:
+        """Call back at a time on the gateway's clock.
+
+        A timer with a delay would start late if the process is held up after the time was read.
+        """
+        due_at_s = self._clock.to_monotonic_s(at_us + TIMER_ROUNDING_US)
+        return self._loop.call_at(due_at_s, callback, *arguments)
 
     def _on_deadline(self, request_id: RequestId) -> None:
         """Time out all attempts of a request that has reached its deadline.
@@ -315,9 +326,10 @@
         request = self._requests.get(request_id)
         if request is None:
             return
-        remaining_us = request.deadline_at_us - self._clock.now_us()
-        if remaining_us > 0:  # loop timers use a coarser clock than the policy and may fire early
-            self._start_deadline_timer(request_id, request, remaining_us)
+        if (
+            self._clock.now_us() < request.deadline_at_us
+        ):  # loop timers use a coarser clock and may fire early
+            self._start_deadline_timer(request_id, request)
             return
         log_deadline_reached(request_id, request)
         request.time_out_attempts()
