Decide a final answer early enough that a hold-up before its write keeps it in time

What callers saw: a final answer that came too late, or a client that had left before it, where the process was held up as it was about to answer at the deadline.

Cause: the deadline lay 15 ms before the client's timeout.

The margin is now 115 ms (0.15 s less the 50 ms, plus the 15 ms as before), but at most a quarter of the timeout of the class. It is a decision, so it moved from the dispatcher to `policy/response_margin.py`.

--- a/http_gateway/net/request_dispatcher.py
+++ b/http_gateway/net/request_dispatcher.py
@@ -56,9 +56,6 @@
 
 Arguments = TypeVarTuple("Arguments")
 
-# The gateway's deadline for a response is this many microseconds before the client's timeout. The margin
-# covers the network latency in both directions and delays of the event loop.
-RESPONSE_MARGIN_US = 15_000
 # Added to the time of a timer, since the event loop may call back up to its clock's resolution early.
 TIMER_ROUNDING_US = 1
 
@@ -142,7 +139,8 @@
         now_us = self._clock.now_us()
         arrived_after_us = self._arrived_after_us(client_request, now_us)
         log_received(request_id, client_request, waited_us=now_us - arrived_after_us)
-        deadline_at_us = arrived_after_us + client_request.timeout_us - RESPONSE_MARGIN_US
+        margin_us = self._balancer.response_margin_us(client_request.class_name)
+        deadline_at_us = arrived_after_us + client_request.timeout_us - margin_us
         request = DispatchedRequest(client_request, respond, has_client_disconnected, deadline_at_us)
         self._requests[request_id] = request
         self._start_deadline_timer(request_id, request)
--- a/http_gateway/policy/balancer.py
+++ b/http_gateway/policy/balancer.py
@@ -31,6 +31,7 @@
 from http_gateway.policy.load_shedding import LoadShedder
 from http_gateway.policy.outlier_detection import OutlierDetector
 from http_gateway.policy.pending_request import Attempt, PendingRequest
+from http_gateway.policy.response_margin import response_margin_us
 from http_gateway.policy.retry_policy import RetryPolicy, may_shed, retry_deadline_us
 from http_gateway.policy.settings import RequestClass, Settings
 from http_gateway.policy.slow_start import SlowStart
@@ -75,6 +76,14 @@
         )
         self._outliers = OutlierDetector(self._endpoints, self._latency)
 
+    def response_margin_us(self, class_name: str) -> int:
+        """Return how long before a client's timeout a request of this class has to be answered.
+
+        A class that is missing from the settings has no margin.
+        """
+        request_class = self._classes.get(class_name)
+        return 0 if request_class is None else response_margin_us(request_class)
+
     def handle(self, event: Event, now_us: int) -> list[Action]:
         """Process one event.
 
--- a/tests/integration/test_held_up_process.py
+++ b/tests/integration/test_held_up_process.py
@@ -104,8 +104,13 @@
     tmp_path: Path, library: Path
 ) -> None:
     faults = fault_variables(library, hold_up_ms=round(1000 * HOLD_UP_S), at_response_prefix="HTTP/1.1 50")
-    async with silent_endpoint_gateway(tmp_path, **faults) as (_, port, _):
+    async with silent_endpoint_gateway(tmp_path, **faults) as (process, port, _):
         client = await LoopbackClient.connect(port)
-        sent_at_s = time.monotonic()
-        client.writer.write(request_bytes(headers=REQUEST))
-        assert await answer_time_s(client, sent_at_s) <= CLIENT_TIMEOUT_S + ANSWER_SLACK_S
+        for is_also_held_up_at_arrival in (False, True):
+            sent_at_s = time.monotonic()
+            if is_also_held_up_at_arrival:
+                process.send_signal(signal.SIGSTOP)
+            client.writer.write(request_bytes(headers=REQUEST))
+            await asyncio.sleep(HOLD_UP_S)
+            process.send_signal(signal.SIGCONT)
+            assert await answer_time_s(client, sent_at_s) <= CLIENT_TIMEOUT_S + ANSWER_SLACK_S
--- a/tests/integration/test_request_dispatcher.py
+++ b/tests/integration/test_request_dispatcher.py
@@ -14,10 +14,10 @@
 import pytest
 
 from http_gateway.net.discovery.endpoint_list import EndpointEntry
-from http_gateway.net.request_dispatcher import RESPONSE_MARGIN_US
 from http_gateway.policy.actions import Action, ShedRequest
 from http_gateway.policy.endpoint import Endpoint, EndpointState
 from http_gateway.policy.events import Event, Outcome, RequestAbandoned, RequestArrived
+from http_gateway.policy.response_margin import RESPONSE_MARGIN_US
 from http_gateway.policy.settings import Idempotency, RequestClass, Settings
 from http_gateway.policy.time_units import US_PER_MS, US_PER_S
 from tests.support.loopback import (
