End a retry's window early enough that a hold-up before its write keeps it in the window

What a server saw: a repeat of an idempotency key up to 0.14 s after the deduplication window, which it would run a second time (rule `duplicate`); not seen in the incident, the same class of mistake.

Cause: a retry's last byte was allowed up to the very end of the window, checked right before the write.

The window that the policy uses ends 115 ms early, by the margin of the final answers; the module with it is now `policy/hold_up_margin.py`.

--- a/http_gateway/policy/balancer.py
+++ b/http_gateway/policy/balancer.py
@@ -27,11 +27,11 @@
     ResponseStreamStarted,
     TimerFired,
 )
+from http_gateway.policy.hold_up_margin import response_margin_us
 from http_gateway.policy.latency_estimate import LatencyEstimate
 from http_gateway.policy.load_shedding import LoadShedder
 from http_gateway.policy.outlier_detection import OutlierDetector
 from http_gateway.policy.pending_request import Attempt, PendingRequest
-from http_gateway.policy.response_margin import response_margin_us
 from http_gateway.policy.retry_policy import RetryPolicy, may_shed, retry_deadline_us
 from http_gateway.policy.settings import RequestClass, Settings
 from http_gateway.policy.slow_start import SlowStart
--- a/http_gateway/policy/response_margin.py
+++ b/http_gateway/policy/hold_up_margin.py
@@ -1,4 +1,4 @@
-"""How long before a client's timeout the gateway gives its final answer."""
+"""How long before a time limit the policy acts, so that the limit holds for a process that is held up."""
 
 from __future__ import annotations
 
@@ -7,12 +7,12 @@
 
 # A gateway process may be held up for this long between reading its clock and writing.
 MAX_HOLD_UP_US = 150 * US_PER_MS
-# A final answer counts as in time until this long after the client's timeout.
-ANSWER_SLACK_US = 50 * US_PER_MS
+# The protocol allows this much time beyond each limit.
+LIMIT_SLACK_US = 50 * US_PER_MS
 NETWORK_MARGIN_US = 15 * US_PER_MS  # network latency in both directions and delays of the event loop
-RESPONSE_MARGIN_US = MAX_HOLD_UP_US - ANSWER_SLACK_US + NETWORK_MARGIN_US
+HOLD_UP_MARGIN_US = MAX_HOLD_UP_US - LIMIT_SLACK_US + NETWORK_MARGIN_US
 # A class with a short timeout would otherwise have no time left for its attempts.
-MAX_MARGIN_FRACTION = 0.25
+MAX_RESPONSE_MARGIN_FRACTION = 0.25
 
 
 def response_margin_us(request_class: RequestClass) -> int:
@@ -28,4 +28,4 @@
     Returns:
         The margin in microseconds.
     """
-    return min(RESPONSE_MARGIN_US, round(MAX_MARGIN_FRACTION * request_class.timeout_us))
+    return min(HOLD_UP_MARGIN_US, round(MAX_RESPONSE_MARGIN_FRACTION * request_class.timeout_us))
--- a/http_gateway/policy/retry_policy.py
+++ b/http_gateway/policy/retry_policy.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from http_gateway.policy.endpoint import Endpoint, EndpointId
+from http_gateway.policy.hold_up_margin import HOLD_UP_MARGIN_US
 from http_gateway.policy.pending_request import PendingRequest
 from http_gateway.policy.retry_budget import RetryBudget
 from http_gateway.policy.settings import DeduplicationScope, Idempotency, Settings
@@ -17,8 +18,9 @@
 def retry_deadline_us(pending: PendingRequest) -> int | None:
     """Return the time before which the last byte of another attempt has to be written.
 
-    With an idempotency key this is the end of the deduplication window, which begins at the start of the
-    earliest attempt that was possibly executed. A request that must be executed at most once must not be
+    With an idempotency key this is shortly before the end of the deduplication window, which begins at the
+    start of the earliest attempt that was possibly executed. The margin covers a process that is held up
+    between the check of this deadline and the write. A request that must be executed at most once must not be
     retried after such an attempt, so its deadline is the start of that attempt.
 
     Returns:
@@ -31,7 +33,7 @@
     if first is None:
         return None
     if request_class.idempotency is Idempotency.IDEMPOTENCY_KEY:
-        return first.started_at_us + request_class.deduplication_window_us
+        return first.started_at_us + request_class.deduplication_window_us - HOLD_UP_MARGIN_US
     return first.started_at_us
 
 
