Answer requests that come after SIGTERM before the earliest SIGKILL

Cause: the deadline of such requests was 0.5 s and the longest timeout after SIGTERM.

Requests received before SIGTERM keep their deadlines, and the process still waits for them.

With timeouts up to 3 s nothing changes.

--- a/http_gateway/service.py
+++ b/http_gateway/service.py
@@ -29,6 +29,8 @@
 RESERVED_DESCRIPTORS = 32
 # Clients still open connections for this long after SIGTERM, so the gateway goes on accepting them.
 ACCEPT_AFTER_SIGTERM_S = 0.5
+# SIGKILL comes no earlier than 0.7 s and the longest timeout after SIGTERM. A longer timeout counts as this.
+MAX_TIMEOUT_BEFORE_SIGKILL_S = 3.0
 # At startup the gateway waits this long for the first endpoint list, because the cached list may name
 # endpoints that are draining or removed. The wait outlasts a short outage of discovery. It leaves 1.5 s of
 # the 10 s within which a restarted gateway must be ready.
@@ -125,15 +127,21 @@
         log.info("listening name=%s address=%s:%d", self._config.name, self._config.listen_address[0], port)
 
     async def _shut_down(self) -> None:
-        """Accept connections for a short time, then stop listening and answer the requests received."""
+        """Accept connections for a short time, then stop listening and answer the requests received.
+
+        New requests have to be answered before SIGKILL may come. Earlier ones keep their own deadlines.
+        """
         log.info("shutdown started unanswered_requests=%d", self._dispatcher.unanswered_count)
-        longest_timeout_us = max(request_class.timeout_us for request_class in self._config.settings.classes)
-        deadline_at_s = self._loop.time() + ACCEPT_AFTER_SIGTERM_S + longest_timeout_us / US_PER_S
-        self._frontend.begin_shutdown(deadline_at_s)
+        classes = self._config.settings.classes
+        longest_timeout_s = max(request_class.timeout_us for request_class in classes) / US_PER_S
+        stops_accepting_at_s = self._loop.time() + ACCEPT_AFTER_SIGTERM_S
+        self._frontend.begin_shutdown(
+            stops_accepting_at_s + min(longest_timeout_s, MAX_TIMEOUT_BEFORE_SIGKILL_S)
+        )
         await asyncio.sleep(ACCEPT_AFTER_SIGTERM_S)
         await self._frontend.accept_backlog()
         self._frontend.stop_accepting()
-        await self._wait_for_connections(deadline_at_s)
+        await self._wait_for_connections(stops_accepting_at_s + longest_timeout_s)
 
     async def _wait_for_connections(self, deadline_at_s: float) -> None:
         """Wait until all client connections are closed, or until the deadline.
--- a/tests/integration/test_shutdown.py
+++ b/tests/integration/test_shutdown.py
@@ -105,3 +105,24 @@
         sys.executable, "-c", code, env={"PROXY_CONFIG": str(path)}
     )
     assert await process.wait() == 0
+
+
+@async_test
+async def test_request_after_sigterm_is_answered_before_the_earliest_sigkill(tmp_path: Path) -> None:
+    """SIGKILL may come 0.7 s and the longest timeout after SIGTERM, but a timeout counts as 3 s at most."""
+    async with (
+        start_peers(never_respond, accept_watch_without_changes) as (endpoint, discovery),
+        running_service(tmp_path, config_document(discovery.port, endpoint.list_entry())) as process,
+    ):
+        client = await LoopbackClient.connect(await listening_port(process))
+        client.writer.write(request_bytes("chapter-buy", {"X-Deadline": "1.5"}))
+        await wait_until(lambda: endpoint.requests)
+        process.send_signal(signal.SIGTERM)
+        signalled_at_s = time.monotonic()
+        await asyncio.sleep(1.0)
+        client.writer.write(
+            request_bytes("chapter-buy", {"X-Deadline": "20"})
+        )  # the connection is still open
+        assert (await client.response()).status == 502
+        assert (await client.response()).status == 502
+        assert time.monotonic() - signalled_at_s <= 3.7
