Check that the client still waits after the last clock read before a write

Cause: `UpstreamConnection.send` checked the client first, and then read the clock twice, for the deadline of the last byte and for `x-deadline`. A process held up after one of these reads wrote the request for a client that had left meanwhile. The client is checked after them now, right before the write.

A hold-up between the check and the write itself, without a clock read in between, can't be told from outside and stays possible.

--- a/http_gateway/net/upstream/connection.py
+++ b/http_gateway/net/upstream/connection.py
@@ -110,19 +110,22 @@
         """Write the request of an attempt.
 
         The attempt ends unsent if its client no longer waits or the deadline for its last byte has passed.
+        The client is checked last: it may leave while the process is held up after a clock read.
         """
+        is_in_time = attempt.is_before_last_byte_deadline
+        request = attempt.request_bytes()
         if not attempt.is_client_waiting():
             self._become_idle()
             attempt.stop(Outcome.CANCELLED)
             return
-        if not attempt.is_before_last_byte_deadline:
+        if not is_in_time:
             self._become_idle()
             attempt.stop(Outcome.NOT_SENT)
             return
         self._cancel_idle_timer()
         self._attempt = attempt
         attempt.attach(self)
-        self._write_all_but_deferred(attempt)
+        self._write_all_but_deferred(request, attempt.has_safe_method)
         if not self._is_write_blocked:
             self._write_deferred_byte(attempt)
 
@@ -187,10 +190,9 @@
         self._fail()
         self._reader.close()
 
-    def _write_all_but_deferred(self, attempt: UpstreamAttempt) -> None:
+    def _write_all_but_deferred(self, request: bytes, has_safe_method: bool) -> None:
         assert self._transport is not None
-        request = attempt.request_bytes()
-        count = len(request) if attempt.has_safe_method else len(request) - 1
+        count = len(request) if has_safe_method else len(request) - 1
         self._is_request_written = False
         self._deferred_byte = request[count:]
         self._transport.write(request[:count])
--- a/tests/integration/test_held_up_process.py
+++ b/tests/integration/test_held_up_process.py
@@ -47,9 +47,11 @@
     "onTime": 400_000,
     "worth": 3.0,
 }
-# Reads of the monotonic clock between the receipt of a response and the write of a retry.
-CLOCK_READS_OF_RETRY = range(1, 41)
+# Reads of the monotonic clock between a receipt and the write of an attempt that has to connect first.
+CLOCK_READS_TO_WRITE = range(1, 41)
 PROCESSES_AT_ONCE = 8
+CLIENT_STAYS_S = 0.02
+LEFT_SLACK_S = 0.1  # an attempt may begin until this long after its client has left
 
 
 @pytest.fixture(scope="session")
@@ -191,5 +193,43 @@
 
     capacity = asyncio.Semaphore(PROCESSES_AT_ONCE)
     assert len(await attempt_times_s(tmp_path / "retried", 0.1, {})) == 1
-    late = await asyncio.gather(*(late_retries(clock_read) for clock_read in CLOCK_READS_OF_RETRY))
-    assert [read for read, at_s in zip(CLOCK_READS_OF_RETRY, late, strict=True) if at_s] == []
+    late = await asyncio.gather(*(late_retries(clock_read) for clock_read in CLOCK_READS_TO_WRITE))
+    assert [read for read, at_s in zip(CLOCK_READS_TO_WRITE, late, strict=True) if at_s] == []
+
+
+async def attempt_delay_after_close_s(folder: Path, faults: dict[str, str]) -> float:
+    """Send a request and close the connection soon after; return the delay of its attempt after the close.
+
+    A negative delay means that the attempt came first or that there was none.
+    """
+    folder.mkdir()
+    received_at_s: list[float] = []
+
+    async def record_time(request: Message, writer: asyncio.StreamWriter) -> None:
+        received_at_s.append(time.monotonic())
+
+    async with start_peers(record_time, accept_watch_without_changes) as (endpoint, discovery):
+        config = config_document(discovery.port, endpoint.list_entry())
+        async with running_service(folder, config, 0, **faults) as process:
+            client = await LoopbackClient.connect(await listening_port(process))
+            client.writer.write(request_bytes(headers=REQUEST))
+            await asyncio.sleep(CLIENT_STAYS_S)
+            client.close()
+            closed_at_s = time.monotonic()
+            await asyncio.sleep(2 * HOLD_UP_S)
+    return max((at_s - closed_at_s for at_s in received_at_s), default=-1.0)
+
+
+@async_test
+async def test_hold_up_after_any_read_of_the_clock_sends_no_attempt_for_a_client_that_left(
+    tmp_path: Path, library: Path
+) -> None:
+    async def delay_s(clock_read: int) -> float:
+        async with capacity:
+            faults = hold_up_after(library, "GET /page-read", clock_read)
+            return await attempt_delay_after_close_s(tmp_path / str(clock_read), faults)
+
+    capacity = asyncio.Semaphore(PROCESSES_AT_ONCE)
+    delays_s = await asyncio.gather(*(delay_s(clock_read) for clock_read in CLOCK_READS_TO_WRITE))
+    late = [read for read, delay in zip(CLOCK_READS_TO_WRITE, delays_s, strict=True) if delay > LEFT_SLACK_S]
+    assert late == []
