Start although the call of socket fails for a moment

What operators saw: a gateway that ended at its start with exit code 2 where `socket` failed once with ENFILE; a restart then counts as a crash.

Cause: every OSError while the listening socket was opened counted as a wrong configuration. A shortage of descriptors or memory (ENFILE, EMFILE, ENOBUFS, ENOMEM) is waited out for up to 2 s now, with a log line; all other errors, such as an address in use, end the start at once as before.

Evidence: test_socket_that_fails_for_a_moment_does_not_end_the_start, three failures: the process ended before, and starts and answers now. The tests of failing calls share one file, test_failing_calls.py.

--- a/http_gateway/service.py
+++ b/http_gateway/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import gc
 import logging
 import os
@@ -36,6 +37,10 @@
 # the 10 s within which a restarted gateway must be ready.
 FIRST_LIST_TIMEOUT_S = 8.5
 DRAIN_CHECK_INTERVAL_S = 0.01
+# The listening socket may fail to open for a moment, while the system is short of resources.
+BIND_TIMEOUT_S = 2.0
+BIND_RETRY_DELAY_S = 0.02
+_TEMPORARY_ERRORS = (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM)
 
 EXIT_OK = 0
 EXIT_CONFIG_ERROR = 2
@@ -80,7 +85,7 @@
         """
         for signal_number in _STOP_SIGNALS:
             self._loop.add_signal_handler(signal_number, self._stop_requested.set)
-        listener = self._bind()
+        listener = await self._bind()
         self._discovery.start()
         try:
             self._enable_reload(early_sighups)
@@ -92,12 +97,18 @@
             self._discovery.stop()
             self._lag_monitor.stop()
 
-    def _bind(self) -> socket.socket:
+    async def _bind(self) -> socket.socket:
+        """Bind the listening socket; a shortage of system resources is waited out for a short time."""
         host, port = self._config.listen_address
-        try:
-            return self._frontend.bind(host, port)
-        except OSError as error:
-            raise ConfigError(f"cannot listen on {host}:{port}: {error.strerror}") from None
+        give_up_at_s = self._loop.time() + BIND_TIMEOUT_S
+        while True:
+            try:
+                return self._frontend.bind(host, port)
+            except OSError as error:
+                if error.errno not in _TEMPORARY_ERRORS or self._loop.time() >= give_up_at_s:
+                    raise ConfigError(f"cannot listen on {host}:{port}: {error.strerror}") from None
+                log.warning('bind failed address=%s:%d reason="%s"', host, port, error.strerror)
+            await asyncio.sleep(BIND_RETRY_DELAY_S)
 
     def _enable_reload(self, early_sighups: Sequence[int]) -> None:
         self._loop.add_signal_handler(signal.SIGHUP, self._reloader.reload)
--- a/tests/integration/test_failing_accept.py
+++ b/tests/integration/test_failing_calls.py
@@ -1,4 +1,4 @@
-"""A gateway process whose accept calls fail now and then, as Linux documents it, answers every request."""
+"""A gateway process whose socket or accept calls fail now and then answers every request."""
 
 from __future__ import annotations
 
@@ -75,3 +75,12 @@
             aborted = counts.pop("reset", 0)
             assert counts == {"answered": 24 - aborted}
             assert aborted <= 3  # of 24 to 32 accepts, six to eight fail, and every third of these aborts
+
+
+@async_test
+async def test_socket_that_fails_for_a_moment_does_not_end_the_start(tmp_path: Path, library: Path) -> None:
+    async with start_peers(respond_with(), accept_watch_without_changes) as (endpoint, discovery):
+        config = config_document(discovery.port, endpoint.list_entry())
+        faults = fault_variables(library, socket_failures=3)
+        async with running_service(tmp_path, config, 0, **faults) as process:
+            assert await answer_on_new_connection(await listening_port(process)) == "answered"
--- a/tests/support/native/syscall_faults.c
+++ b/tests/support/native/syscall_faults.c
@@ -7,6 +7,7 @@
  *                               data that begins with FAULT_AFTER_PREFIX; the caller then has a time that is
  *                               out of date
  * FAULT_AT_RESPONSE_PREFIX=TEXT hold-up before data that begins with TEXT is sent
+ * FAULT_SOCKET_FAILURES=N       the first N calls of socket fail with ENFILE
  * FAULT_ACCEPT_EVERY=N          each Nth accept fails: with ENFILE, ECONNABORTED and ENOBUFS in turn
  */
 #define _GNU_SOURCE
@@ -21,6 +22,7 @@
 static const int ACCEPT_ERRORS[] = {ENFILE, ECONNABORTED, ENOBUFS};
 
 static int clock_reads_left = 0; /* until the hold-up; 0: none is due */
+static int socket_count = 0;
 static int accept_count = 0;
 static int accept_error_count = 0;
 
@@ -63,6 +65,14 @@
     return result;
 }
 
+int socket(int domain, int type, int protocol) {
+    static int (*next)(int, int, int);
+    if (next == NULL) next = dlsym(RTLD_NEXT, "socket");
+    if (socket_count++ >= number("FAULT_SOCKET_FAILURES")) return next(domain, type, protocol);
+    errno = ENFILE;
+    return -1;
+}
+
 int accept4(int listener, struct sockaddr *address, socklen_t *length, int flags) {
     static int (*next)(int, struct sockaddr *, socklen_t *, int);
     if (next == NULL) next = dlsym(RTLD_NEXT, "accept4");
