Keep logging after the wall clock was set back

What operators saw: after the wall clock was set back by an hour, no line of a message that had been logged before appeared for that hour, since the rate limit compared wall clock times. A negative interval passes a line now.

Evidence: test_wall_clock_that_is_set_back_suppresses_no_line_for_longer fails without the change.

--- a/http_gateway/net/log_rate_limit.py
+++ b/http_gateway/net/log_rate_limit.py
@@ -24,7 +24,8 @@
         if record.levelno <= logging.DEBUG:  # switched on to follow each request
             return True
         message = str(record.msg)
-        if record.created < self._last_passed_at_s.get(message, 0.0) + MIN_INTERVAL_S:
+        since_last_s = record.created - self._last_passed_at_s.get(message, 0.0)
+        if 0 <= since_last_s < MIN_INTERVAL_S:  # negative after the wall clock was set back
             self._suppressed_counts[message] = self._suppressed_counts.get(message, 0) + 1
             return False
         self._last_passed_at_s[message] = record.created
--- a/tests/unit/test_log_rate_limit.py
+++ b/tests/unit/test_log_rate_limit.py
@@ -41,3 +41,10 @@
         record = record_at(100.0, "attempt started request_id=%d", 1)
         record.levelno = logging.DEBUG
         assert limiter.filter(record)
+
+
+def test_wall_clock_that_is_set_back_suppresses_no_line_for_longer() -> None:
+    limiter = LogRateLimiter()
+    assert limiter.filter(record_at(7200.0, "connect failed port=%d", 1))
+    assert limiter.filter(record_at(3600.0, "connect failed port=%d", 2))
+    assert not limiter.filter(record_at(3600.5, "connect failed port=%d", 3))
