Add a seeded soak of gateway processes under faults, with judges of their own

Three gateway processes with the preload library, five endpoints, discovery and clients, for 12 s a seed. The seed draws hold-ups of up to 0.15 s after clock reads and before sends, failing accepts and connects, short reads and writes, steps of the wall clock, endpoints that hang, reset, reject and drain, clients that leave, and one restart of each gateway with SIGKILL at its earliest. What clients and endpoints saw is judged: final answers in time, attempts after a client has left, the deadline told to endpoints, drains, and repeated executions.

--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,98 @@
+"""Runs one seeded soak."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+from tests.soak.history import History
+from tests.soak.world import (
+    DRAIN_GRACE_S,
+    ENDPOINT_COUNT,
+    GATEWAYS,
+    WINDOW_S,
+    Clients,
+    Discovery,
+    Endpoint,
+    Gateway,
+    record_lag,
+)
+from tests.support.syscall_faults import fault_variables
+
+MAX_HOLD_UP_MS = 150
+DRAIN_TIME_S = 2.5
+
+
+@dataclass(frozen=True)
+class SoakResult:
+    """What one soak has found."""
+
+    seed: int
+    request_count: int
+    ends: dict[str, int]
+    broken: list[str]
+    max_own_lag_s: float
+
+
+def draw_faults(random: Random) -> dict[str, object]:
+    """Draw which faults of system calls and clocks a gateway has, and how often."""
+    faults: dict[str, object] = {"seed": random.randrange(10**6)}
+    if random.random() < 0.8:
+        faults |= {"hold_up_ms": MAX_HOLD_UP_MS, "hold_up_every": random.choice((200, 600))}
+    if random.random() < 0.5:
+        faults["accept_every"] = random.choice((3, 10, 40))
+    if random.random() < 0.4:
+        faults["connect_every"] = random.choice((6, 15))
+    if random.random() < 0.3:
+        faults["short_every"] = random.choice((2, 7))
+    if random.random() < 0.4:
+        faults["wall_step_s"] = random.choice((3600, -3600, 5))
+    return faults
+
+
+async def run_soak(seed: int, seconds: float, folder: Path, library: Path) -> SoakResult:
+    """Run gateways, endpoints, discovery and clients for some time, and judge what they saw."""
+    random = Random(seed)
+    history = History(WINDOW_S, DRAIN_GRACE_S)
+    endpoints = [Endpoint(f"s-{number}", random, history) for number in range(ENDPOINT_COUNT)]
+    discovery = Discovery(endpoints, history)
+    for endpoint in endpoints:
+        await endpoint.start()
+    await discovery.start()
+    gateways = [
+        Gateway(name, folder, discovery, fault_variables(library, **draw_faults(random))) for name in GATEWAYS
+    ]
+    tasks = [
+        asyncio.create_task(record_lag(history)),
+        *(asyncio.create_task(gateway.run(random.uniform(2.0, seconds - 2.0))) for gateway in gateways),
+    ]
+    clients = Clients(gateways, random, history)
+    drains = asyncio.create_task(_drain_endpoints(endpoints, discovery, random))
+    await clients.run(time.monotonic() + seconds)
+    for task in (drains, *tasks):
+        task.cancel()
+    results = await asyncio.gather(drains, *tasks, return_exceptions=True)
+    for endpoint in endpoints:
+        endpoint.stop()
+    discovery.stop()
+    await asyncio.sleep(0.1)  # the watches end
+    failures = [f"soak: {error!r}" for error in results if isinstance(error, Exception)]
+    ends = Counter(record.end.name for record in history.requests.values())
+    faults_seen = [fault for gateway in gateways for fault in gateway.faults_seen]
+    max_lag_s = max((lag_s for _, lag_s in history.lags), default=0.0)
+    broken = history.broken_rules() + faults_seen + failures
+    return SoakResult(seed, len(history.requests), dict(ends), broken, max_lag_s)
+
+
+async def _drain_endpoints(endpoints: list[Endpoint], discovery: Discovery, random: Random) -> None:
+    """Drain one endpoint after another, each for some time, until the task is cancelled."""
+    while True:
+        await asyncio.sleep(random.uniform(0.5, 1.5))
+        endpoint = random.choice(endpoints)
+        discovery.change(endpoint, "Terminating")
+        await asyncio.sleep(DRAIN_TIME_S)
+        discovery.change(endpoint, "Ready")
