Give the policy the gateway's deadline for a request, whatever passes before it handles it

Cause: `submit` worked out the time that a request has left, and the policy added it to a clock read of its own. After a hold-up between the two, the policy's deadline was later than the gateway's: at the gateway's deadline the policy still started retries, which were not sent and counted against endpoints that had nothing to do with it.

The time left is now worked out with the clock read that the policy gets.

--- a/http_gateway/net/request_dispatcher.py
+++ b/http_gateway/net/request_dispatcher.py
@@ -186,7 +186,7 @@
         """
         try:
             now_us = self._clock.now_us()
-            for action in self._balancer.handle(event, now_us):
+            for action in self._balancer.handle(self._with_time_left(event, now_us), now_us):
                 self._execute_action(action, now_us)
             if isinstance(event, RequestArrived | AttemptEnded):
                 self._release_if_answered(event.request_id)
@@ -195,6 +195,12 @@
             if isinstance(event, RequestArrived | AttemptEnded):
                 self._fail(event.request_id, HTTPStatus.INTERNAL_SERVER_ERROR)
 
+    def _with_time_left(self, event: Event, now_us: int) -> Event:
+        """Return the event with the time that a new request has left when the policy handles it."""
+        if not isinstance(event, RequestArrived):
+            return event
+        return event._replace(timeout_us=self._requests[event.request_id].deadline_at_us - now_us)
+
     def _execute_action(self, action: Action, decided_at_us: int) -> None:
         match action:
             case StartAttempt():
