Let the soak break endpoint connections and send SIGHUP in series

Reads on connections that the gateway opened fail with ETIMEDOUT and EHOSTUNREACH in turn, and SIGHUP comes up to three times in a row. Each part of the soak has its own seeded random numbers.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -49,6 +49,8 @@
         faults["connect_every"] = random.choice((6, 15))
     if random.random() < 0.3:
         faults["short_every"] = random.choice((2, 7))
+    if random.random() < 0.3:
+        faults["reset_every"] = random.choice((10, 30))
     if random.random() < 0.4:
         faults["wall_step_s"] = random.choice((3600, -3600, 5))
     return faults
@@ -56,22 +58,31 @@
 
 async def run_soak(seed: int, seconds: float, folder: Path, library: Path) -> SoakResult:
     """Run gateways, endpoints, discovery and clients for some time, and judge what they saw."""
-    random = Random(seed)
+    # Each part has its own random numbers, so that the draws of one do not depend on the timing of another.
+    random = Random(f"{seed} soak")
     history = History(WINDOW_S, DRAIN_GRACE_S)
-    endpoints = [Endpoint(f"s-{number}", random, history) for number in range(ENDPOINT_COUNT)]
+    names = [f"s-{number}" for number in range(ENDPOINT_COUNT)]
+    endpoints = [Endpoint(name, Random(f"{seed} {name}"), history) for name in names]
     discovery = Discovery(endpoints, history)
     for endpoint in endpoints:
         await endpoint.start()
     await discovery.start()
     gateways = [
-        Gateway(name, folder, discovery, fault_variables(library, **draw_faults(random))) for name in GATEWAYS
+        Gateway(
+            name,
+            folder,
+            discovery,
+            fault_variables(library, **draw_faults(random)),
+            Random(f"{seed} {name}"),
+        )
+        for name in GATEWAYS
     ]
     tasks = [
         asyncio.create_task(record_lag(history)),
         *(asyncio.create_task(gateway.run(random.uniform(2.0, seconds - 2.0))) for gateway in gateways),
     ]
-    clients = Clients(gateways, random, history)
-    drains = asyncio.create_task(_drain_endpoints(endpoints, discovery, random))
+    clients = Clients(gateways, Random(f"{seed} clients"), history)
+    drains = asyncio.create_task(_drain_endpoints(endpoints, discovery, Random(f"{seed} drains")))
     await clients.run(time.monotonic() + seconds)
     for task in (drains, *tasks):
         task.cancel()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -163,7 +163,9 @@
 class Gateway:
     """A gateway process that restarts under its name and address."""
 
-    def __init__(self, name: str, folder: Path, discovery: Discovery, faults: dict[str, str]) -> None:
+    def __init__(
+        self, name: str, folder: Path, discovery: Discovery, faults: dict[str, str], random: Random
+    ) -> None:
         self.name = name
         self.port = free_port()
         self.is_accepting = False
@@ -173,6 +175,7 @@
         self._folder.mkdir()
         self._discovery = discovery
         self._faults = faults
+        self._random = random
 
     async def run(self, restart_after_s: float) -> None:
         """Run the process and restart it once with SIGTERM, then SIGKILL as early as it may come."""
@@ -186,6 +189,7 @@
             async with running_service(self._folder, config, 0, **self._faults) as process:
                 await listening_port(process)
                 log = asyncio.create_task(self._read_log(process))
+                reloads = asyncio.create_task(self._reload(process))
                 self.is_accepting = True
                 try:
                     await asyncio.sleep(run_s) if run_s is not None else await process.wait()
@@ -198,6 +202,15 @@
                         self.faults_seen.append(f"crash: {self.name} exited with {process.returncode}")
                 finally:
                     log.cancel()
+                    reloads.cancel()
+
+    async def _reload(self, process: asyncio.subprocess.Process) -> None:
+        """Send SIGHUP several times in a row, again and again, until the task is cancelled."""
+        while True:
+            await asyncio.sleep(self._random.uniform(0.2, 2.0))
+            for _ in range(self._random.randrange(1, 4)):
+                if process.returncode is None:
+                    process.send_signal(signal.SIGHUP)
 
     async def _read_log(self, process: asyncio.subprocess.Process) -> None:
         assert process.stderr is not None
--- a/tests/support/native/syscall_faults.c
+++ b/tests/support/native/syscall_faults.c
@@ -12,6 +12,8 @@
  * FAULT_SEED=N                  seed of these random numbers
  * FAULT_SHORT_EVERY=N           each Nth recv and send handles seven bytes at most
  * FAULT_CONNECT_EVERY=N         each Nth connect fails: EADDRNOTAVAIL, ENETUNREACH and ENOBUFS in turn
+ * FAULT_RESET_EVERY=N           each Nth recv on a connection that the process opened fails: ETIMEDOUT and
+ *                               EHOSTUNREACH in turn
  * FAULT_WALL_STEP_S=N           the wall clock is N seconds ahead in each second stretch of three seconds
  * FAULT_SOCKET_FAILURES=N       the first N calls of socket fail with ENFILE
  * FAULT_ACCEPT_EVERY=N          each Nth accept fails: with ENFILE, ECONNABORTED and ENOBUFS in turn
@@ -35,6 +37,10 @@
 static int clock_reads_left = 0; /* until the hold-up; 0: none is due */
 static unsigned int random_state = 0;
 static time_t held_up_at_s = 0;
+static const int RESET_ERRORS[] = {ETIMEDOUT, EHOSTUNREACH};
+static const int MAX_DESCRIPTORS = 4096;
+static char is_opened_here[4096];
+static int reset_count = 0;
 static int connect_count = 0;
 static int short_count = 0;
 static int socket_count = 0;
@@ -84,6 +90,12 @@
 ssize_t recv(int descriptor, void *buffer, size_t size, int flags) {
     static ssize_t (*next)(int, void *, size_t, int);
     if (next == NULL) next = dlsym(RTLD_NEXT, "recv");
+    int every = number("FAULT_RESET_EVERY");
+    int may_fail = every != 0 && descriptor < MAX_DESCRIPTORS && is_opened_here[descriptor];
+    if (may_fail && ++reset_count % every == 0) {
+        errno = RESET_ERRORS[reset_count / every % 2];
+        return -1;
+    }
     ssize_t length = next(descriptor, buffer, shortened(size), flags);
     if (length > 0 && starts_with(buffer, (size_t)length, getenv("FAULT_AFTER_PREFIX")))
         clock_reads_left = number("FAULT_AT_CLOCK_READ");
@@ -111,6 +123,7 @@
 int connect(int descriptor, const struct sockaddr *address, socklen_t length) {
     static int (*next)(int, const struct sockaddr *, socklen_t);
     if (next == NULL) next = dlsym(RTLD_NEXT, "connect");
+    if (descriptor < MAX_DESCRIPTORS) is_opened_here[descriptor] = 1;
     int every = number("FAULT_CONNECT_EVERY");
     if (every == 0 || ++connect_count % every != 0) return next(descriptor, address, length);
     errno = CONNECT_ERRORS[connect_count / every % 3];
@@ -129,7 +142,11 @@
     static int (*next)(int, struct sockaddr *, socklen_t *, int);
     if (next == NULL) next = dlsym(RTLD_NEXT, "accept4");
     int every = number("FAULT_ACCEPT_EVERY");
-    if (every == 0 || ++accept_count % every != 0) return next(listener, address, length, flags);
+    if (every == 0 || ++accept_count % every != 0) {
+        int accepted = next(listener, address, length, flags);
+        if (accepted >= 0 && accepted < MAX_DESCRIPTORS) is_opened_here[accepted] = 0;
+        return accepted;
+    }
     int error = ACCEPT_ERRORS[accept_error_count++ % 3];
     if (error == ECONNABORTED) { /* the only one of these errors that removes the connection from the backlog */
         int aborted = next(listener, address, length, flags);
