--- a/http_gateway/net/request_dispatcher.py
+++ b/http_gateway/net/request_dispatcher.py
@@ -330,9 +330,7 @@
         request = self._requests.get(request_id)
         if request is None:
             return
-        if (
-            self._clock.now_us() < request.deadline_at_us
-        ):  # loop timers use a coarser clock and may fire early
+        if self._clock.now_us() < request.deadline_at_us:  # loop timers may fire early
             self._start_deadline_timer(request_id, request)
             return
         log_deadline_reached(request_id, request)
