Hold the process up twice in the test of late timers

Since the margin of the final answer covers one hold-up, the test passed with timers that start late (a mutant with `call_later` in place of `call_at`). The process is now held up as it answers as well, and the mutant fails again.

--- a/tests/integration/test_held_up_process.py
+++ b/tests/integration/test_held_up_process.py
@@ -111,9 +111,11 @@
 
 @async_test
 async def test_hold_up_after_any_read_of_the_clock_delays_no_answer(tmp_path: Path, library: Path) -> None:
+    """The process is held up once more as it answers, so that the margin of the answer is used up."""
     late: dict[int, float] = {}
     for clock_read in CLOCK_READS:
         faults = hold_up_after(library, "GET /page-read", clock_read)
+        faults["FAULT_AT_RESPONSE_PREFIX"] = "HTTP/1.1 50"
         async with silent_endpoint_gateway(tmp_path, **faults) as (_, port, _):
             client = await LoopbackClient.connect(port)
             sent_at_s = time.monotonic()
