Log bytes that an endpoint sends without a request, and how late they come

The connection logs "bytes without a request endpoint_id= idle_ms=", limited to one line a second like other lines.

--- a/http_gateway/net/upstream/connection.py
+++ b/http_gateway/net/upstream/connection.py
@@ -22,6 +22,7 @@
 # Seconds after a response before the connection is used again. An endpoint may send a second response a few
 # milliseconds later, which would be mistaken for the response to the next request.
 REUSE_DELAY_S = 0.01
+_MS_PER_S = 1000
 
 
 class ConnectionOwner(Protocol):
@@ -148,6 +149,7 @@
         # With this limit, resume_writing is called only after the kernel has accepted every byte.
         transport.set_write_buffer_limits(high=0)
         self._transport = transport
+        self._idle_since_at_s = self._loop.time()
         self._owner.connection_opened()
 
     def pause_writing(self) -> None:
@@ -164,6 +166,7 @@
     def on_data(self, data: memoryview) -> None:
         """Parse the response to the current request; close the connection if there is no request."""
         if self._attempt is None:  # these bytes would be taken for the response to the next request
+            self._log_excess_bytes(idle_s=self._loop.time() - self._idle_since_at_s)
             self.drop()
             return
         responses = self._reader.feed(data)
@@ -173,6 +176,8 @@
             is_only_response = (
                 len(responses) == 1 and not self._reader.has_partial_message and self._reader.error is None
             )
+            if not is_only_response:
+                self._log_excess_bytes(idle_s=0.0)
             self._end_attempt(responses[0], self._is_request_written and is_only_response)
         elif self._reader.error is not None:
             log.warning(
@@ -241,6 +246,11 @@
             self._idle_timer.cancel()
             self._idle_timer = None
 
+    def _log_excess_bytes(self, idle_s: float) -> None:
+        log.warning(
+            "bytes without a request endpoint_id=%d idle_ms=%d", self._owner.endpoint_id, idle_s * _MS_PER_S
+        )
+
     def _fail(self) -> None:
         attempt, is_request_written = self._attempt, self._is_request_written
         self.drop()
--- a/tests/integration/test_upstream_reuse.py
+++ b/tests/integration/test_upstream_reuse.py
@@ -93,6 +93,15 @@
         assert endpoint.connection_count == 2
 
 
+@async_test
+async def test_bytes_without_a_request_are_logged(caplog: pytest.LogCaptureFixture) -> None:
+    async with start_peers(respond_with()) as (endpoint,):
+        driver = AttemptDriver(endpoint.port)
+        await driver.run()
+        await _send_unrequested_response(endpoint, driver)
+        assert f"bytes without a request endpoint_id={ENDPOINT_ID} idle_ms=" in caplog.text
+
+
 @pytest.mark.parametrize("unread", [b"", OK_RESPONSE])
 @async_test
 async def test_connection_with_unread_bytes_or_end_is_not_used_again(unread: bytes) -> None:
