Acknowledge responses at once, so that kernels hold no second copy back

Cause: the endpoint writes a response twice in a row on a socket without TCP_NODELAY. Its kernel holds the second copy back until the first is acknowledged, and the gateway's kernel delays that by some 40 ms or until the next request on the connection, which thus releases the copy. It comes right behind that request and is taken for its response. The reuse delay of 10 ms cannot help: the copy is not on its way yet.

Other hypotheses: the endpoint writes the copy late; the gateway reads it late; the parser joins two responses. What tells them apart: without the next request the copy comes 41 to 44 ms after the first, with TCP_NODELAY at the endpoint or TCP_QUICKACK at the gateway after 0.02 ms (a probe of 40 connections each). In the log, some copies come 40 ms late.

Change: the connection sets TCP_QUICKACK after each read, so that the kernel acknowledges at once. The copy then comes while the connection is idle, and closes it.

--- a/http_gateway/net/upstream/connection.py
+++ b/http_gateway/net/upstream/connection.py
@@ -7,6 +7,7 @@
 import logging
 import select
 import socket
+from asyncio import trsock
 from typing import Protocol
 
 from http_gateway.net.http.messages import Message
@@ -23,6 +24,8 @@
 # milliseconds later, which would be mistaken for the response to the next request.
 REUSE_DELAY_S = 0.01
 _MS_PER_S = 1000
+# Option that makes the kernel acknowledge received bytes at once; None on systems without it.
+_QUICK_ACK: int | None = getattr(socket, "TCP_QUICKACK", None)
 
 
 class ConnectionOwner(Protocol):
@@ -67,6 +70,7 @@
         self._reader = ResponseReader()
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
+        self._socket: trsock.TransportSocket  # set by `connection_made`
         self._attempt: UpstreamAttempt | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
         self._idle_since_at_s = 0.0
@@ -149,6 +153,7 @@
         # With this limit, resume_writing is called only after the kernel has accepted every byte.
         transport.set_write_buffer_limits(high=0)
         self._transport = transport
+        self._socket = transport.get_extra_info("socket")
         self._idle_since_at_s = self._loop.time()
         self._owner.connection_opened()
 
@@ -169,6 +174,7 @@
             self._log_excess_bytes(idle_s=self._loop.time() - self._idle_since_at_s)
             self.drop()
             return
+        self._acknowledge_at_once()
         responses = self._reader.feed(data)
         if responses:
             # A complete response is valid whatever follows it. But if anything follows, even the start of
@@ -195,6 +201,18 @@
         self._fail()
         self._reader.close()
 
+    def _acknowledge_at_once(self) -> None:
+        """Send the TCP acknowledgement of the received bytes now instead of with the next request.
+
+        Until then the kernel of an endpoint without TCP_NODELAY may hold back a small write (Nagle's
+        algorithm), such as a second copy of the response. It would arrive right after the next request on the
+        connection and would be taken for the response to that request.
+        """
+        if _QUICK_ACK is None:
+            return
+        with contextlib.suppress(OSError):  # the connection is lost, which the transport reports
+            self._socket.setsockopt(socket.IPPROTO_TCP, _QUICK_ACK, 1)
+
     def _write_all_but_deferred(self, request: bytes, has_safe_method: bool) -> None:
         assert self._transport is not None
         count = len(request) if has_safe_method else len(request) - 1
--- a/tests/integration/test_upstream_reuse.py
+++ b/tests/integration/test_upstream_reuse.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import select
+import socket
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 
 import pytest
 
 from http_gateway.net.http.messages import Message
+from http_gateway.net.http.writer import write_response
 from http_gateway.net.upstream import connection
 from http_gateway.policy.events import Outcome
 from tests.support.loopback import (
@@ -27,6 +30,7 @@
     UNSAFE_REQUEST,
     AttemptDriver,
     wait_for_requests,
+    wait_until_reusable,
 )
 
 REJECT = respond_with(503, X_Not_Run="1")
@@ -190,6 +194,36 @@
         assert endpoint.connection_count == 2
 
 
+@async_test
+async def test_second_copy_held_back_by_the_endpoint_kernel_is_not_matched_to_another_request() -> None:
+    """Guards against a client that gets the response to the request of another client.
+
+    The endpoint writes a response twice in a row on a socket without TCP_NODELAY. Its kernel holds back the
+    second copy until the gateway has acknowledged the first one.
+    """
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 0)
+        request_id = request.header(b"x-request-id") or ""
+        response = write_response(HTTPStatus.OK, [], request_id.encode(), close=False)
+        writer.write(response)
+        if request_id.endswith("twice"):
+            writer.write(response)
+
+    async with (
+        start_peers(script) as (endpoint,),
+        running_gateway(entry := endpoint.endpoint_entry()) as gateway,
+    ):
+        client = await gateway.connect()
+        for turn in range(5):
+            # The kernel of the gateway delays acknowledgements after some requests that follow each other.
+            for name in ("first", "second", "third", "twice", "next"):
+                request_id = f"{turn}-{name}"
+                response = await client.request(headers={"X-Request-Id": request_id})
+                assert response.body.decode() == request_id
+                await wait_until_reusable(gateway.pool, entry.endpoint.id)
+
+
 @async_test
 async def test_second_copy_of_a_rejection_is_not_matched_to_another_request(
     monkeypatch: pytest.MonkeyPatch,
