Forward responses that end with their connection because they have no length

Cause: such a response ends where the endpoint closes the connection in order (RFC 9112, section 6.3). The parser does not learn of that end, and the connection ended the attempt as reset without asking.

Other hypotheses: the body arrives incomplete; the endpoint resets the connection, since the gateway's bytes are unread; the parser rejects a head without a length. What tells them apart: the endpoint's record has a FIN after each body, the log has no "response malformed", and a test that feeds the parser the same bytes gets no error and no message.

Change: `ResponseReader.end_of_stream` completes a final response whose head gives no length, and `eof_received` takes it. A response cut off within its head, its length or its chunks is a reset as before, and so is one whose connection is reset.

The watch of discovery takes documents as they come and ends with its connection, so it does not have the fault.

--- a/http_gateway/net/http/reader.py
+++ b/http_gateway/net/http/reader.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from http_gateway.net.http.messages import MalformedMessageError, Message
+from http_gateway.net.http.messages import Headers, MalformedMessageError, Message
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 16 * 1024  # start line and headers; larger than any browser sends
@@ -136,11 +136,14 @@
         self.buffered_bytes = 0
         self._complete.append(self._message)
 
-    def _check_framing(self) -> None:
-        """Reject body framing that another parser could read differently, which allows request smuggling."""
-        framing = [
+    def _framing_headers(self) -> Headers:
+        return [
             (name, value.strip().lower()) for name, value in self._message.headers if name in _FRAMING_HEADERS
         ]
+
+    def _check_framing(self) -> None:
+        """Reject body framing that another parser could read differently, which allows request smuggling."""
+        framing = self._framing_headers()
         if self._parser.get_http_version() not in ("1.0", "1.1"):
             raise MalformedMessageError(
                 HTTPStatus.HTTP_VERSION_NOT_SUPPORTED, "the HTTP version is not 1.0 or 1.1"
@@ -178,9 +181,35 @@
     def __init__(self) -> None:
         super().__init__()
         self._parser: httptools.HttpResponseParser = httptools.HttpResponseParser(self)
+        self._is_close_delimited = False  # whether the current response ends with its connection
+
+    def end_of_stream(self) -> Message | None:
+        """Handle the orderly end of the connection; a reset is no such end.
+
+        Returns:
+            The response that ends with the connection, since its head gives no length (RFC 9112, section
+            6.3); None if there is none. A response with a length is incomplete if the connection ends within
+            it.
+        """
+        if self.error is not None or not self._is_close_delimited:
+            return None
+        self.on_message_complete()
+        return self._message
+
+    def on_message_begin(self) -> None:
+        """Start a new response."""
+        super().on_message_begin()
+        self._is_close_delimited = False
+
+    def on_headers_complete(self) -> None:
+        """Check the framing of the response and find out whether it ends with its connection."""
+        super().on_headers_complete()
+        is_final = self._parser.get_status_code() >= HTTPStatus.OK
+        self._is_close_delimited = is_final and not self._framing_headers()
 
     def on_message_complete(self) -> None:
         """Add the response to the complete messages, unless it is an interim response (1xx)."""
+        self._is_close_delimited = False
         self._message.status = self._parser.get_status_code()
         if self._message.status >= HTTPStatus.OK:
             super().on_message_complete()
--- a/http_gateway/net/upstream/connection.py
+++ b/http_gateway/net/upstream/connection.py
@@ -192,8 +192,12 @@
             self._fail()
 
     def eof_received(self) -> None:
-        """Close the connection after the endpoint has closed its side."""
-        self._fail()
+        """Take a response that ends with the connection; close the connection after the endpoint's side."""
+        response = self._reader.end_of_stream() if self._attempt is not None else None
+        if response is not None:
+            self._end_attempt(response, may_reuse=False)
+        else:
+            self._fail()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Release the closed connection and end the attempt on it."""
--- a/tests/integration/test_upstream_outcomes.py
+++ b/tests/integration/test_upstream_outcomes.py
@@ -19,6 +19,7 @@
     never_respond,
     reset_connection,
     respond_with,
+    running_gateway,
     start_peers,
     wait_until,
 )
@@ -32,10 +33,13 @@
 )
 
 
-async def _respond_in_part(request: Message, writer: asyncio.StreamWriter) -> None:
-    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart")
-    await writer.drain()
-    writer.close()
+def _respond_and_close(response: bytes) -> PeerScript:
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(response)
+        await writer.drain()
+        writer.close()
+
+    return script
 
 
 async def _respond_without_length_and_reset(request: Message, writer: asyncio.StreamWriter) -> None:
@@ -44,6 +48,11 @@
     abort_with_reset(writer)
 
 
+async def _respond_without_length_and_reset_at_once(request: Message, writer: asyncio.StreamWriter) -> None:
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\nall of it, or is it?")
+    abort_with_reset(writer)
+
+
 async def _reject_without_length_and_reset(request: Message, writer: asyncio.StreamWriter) -> None:
     writer.write(b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n\r\nfull")
     await asyncio.sleep(0.02)
@@ -66,8 +75,17 @@
         (respond_with(504), Outcome.ERROR),
         (respond_with(500, X_Not_Run="1"), Outcome.ERROR),
         (reset_connection, Outcome.RESET),
-        (_respond_in_part, Outcome.RESET),
+        (_respond_and_close(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart"), Outcome.RESET),
+        (
+            _respond_and_close(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart"),
+            Outcome.RESET,
+        ),
+        (_respond_and_close(b"HTTP/1.1 200 OK\r\nX-Cut: off"), Outcome.RESET),
+        (_respond_and_close(b"HTTP/1.1 103 Early Hints\r\n\r\n"), Outcome.RESET),
+        (_respond_and_close(b"HTTP/1.1 500 Internal Server Error\r\n\r\nfault"), Outcome.ERROR),
+        (_respond_and_close(b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n\r\n"), Outcome.REJECTED),
         (_respond_without_length_and_reset, Outcome.RESET),
+        (_respond_without_length_and_reset_at_once, Outcome.RESET),
         (_reject_without_length_and_reset, Outcome.RESET),
         (_respond_malformed, Outcome.RESET),
     ],
@@ -78,6 +96,34 @@
         assert (await AttemptDriver(endpoint.port).run()).outcome is outcome
 
 
+@pytest.mark.parametrize(
+    "head", [b"HTTP/1.1 200 OK\r\nConnection: close", b"HTTP/1.1 200 OK", b"HTTP/1.0 200 OK"]
+)
+@pytest.mark.parametrize("parts", [(b"all ", b"of it"), (b"all of it",), ()])
+@async_test
+async def test_response_without_a_length_that_ends_with_its_connection_is_forwarded(
+    head: bytes, parts: tuple[bytes, ...]
+) -> None:
+    """Guards against a complete response without a length that is discarded, and its client gets a 502."""
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(head + b"\r\n\r\n")
+        for part in parts:
+            await asyncio.sleep(0.02)
+            writer.write(part)
+        writer.close()
+
+    async with (
+        start_peers(script) as (endpoint,),
+        running_gateway(endpoint.endpoint_entry()) as gateway,
+    ):
+        for class_name in ("page-read", "chapter-buy"):
+            response = await gateway.request(class_name)
+            assert (response.status, response.body) == (200, b"".join(parts))
+        assert len(endpoint.requests) == 2
+        await wait_until(lambda: gateway.pool.open_descriptors == 0)
+
+
 @pytest.mark.parametrize(
     "response",
     [
--- a/tests/unit/net/test_http_reader.py
+++ b/tests/unit/net/test_http_reader.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from http_gateway.net.http.reader import (
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
@@ -69,3 +71,31 @@
     responses = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npage"
     (message,) = reader.feed(responses)
     assert (message.status, message.body) == (200, b"page")
+
+
+def test_response_without_a_length_ends_with_its_connection() -> None:
+    reader = ResponseReader()
+    assert reader.feed(b"HTTP/1.1 200 OK\r\n\r\nall ") == []
+    assert reader.feed(b"of it") == []
+    response = reader.end_of_stream()
+    assert response is not None
+    assert (response.status, response.body, response.keep_alive) == (200, b"all of it", False)
+    assert reader.end_of_stream() is None
+
+
+@pytest.mark.parametrize(
+    "received",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\nX-Cut: off",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart",
+        b"HTTP/1.1 103 Early Hints\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\n" + bytes(MAX_BODY_BYTES + 1),
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npageHTTP/1.1 200",
+    ],
+)
+def test_no_other_response_ends_with_its_connection(received: bytes) -> None:
+    reader = ResponseReader()
+    reader.feed(received)
+    assert reader.end_of_stream() is None
