Take no 200 for an attempt whose request is not completely written

Cause: the connection took every response for the attempt on it. An endpoint begins a request once its last byte has arrived, so a 200 before that belongs to an earlier request.

Change: the connection is closed, and the attempt ends as CONNECT_FAILED, which may be retried since the endpoint cannot have executed the request. Rejections and errors are taken as before: they do not claim an execution.

--- a/http_gateway/net/upstream/connection.py
+++ b/http_gateway/net/upstream/connection.py
@@ -243,9 +243,17 @@
             self._is_request_written = self._is_request_written and not self._transport.is_closing()
 
     def _end_attempt(self, response: Message, may_reuse: bool) -> None:
+        """End the attempt with a response.
+
+        A response that says that the request was executed, although its last byte is not written, belongs to
+        an earlier request.
+        """
+        outcome = response_outcome(response)
+        if outcome is Outcome.OK and not self._is_request_written:
+            self._fail()
+            return
         attempt, self._attempt = self._attempt, None
         assert attempt is not None
-        outcome = response_outcome(response)
         self._last_response_was_rejection = outcome is Outcome.REJECTED
         if response.keep_alive and may_reuse and self._owner.is_ready and self.is_open:
             self._become_idle()
--- a/tests/integration/test_last_byte.py
+++ b/tests/integration/test_last_byte.py
@@ -11,9 +11,12 @@
 import socket
 import time
 
+import pytest
+
 from http_gateway.policy.events import Outcome
 from tests.support.loopback import async_test, respond_with, start_peers, wait_until
 from tests.support.upstream import (
+    OK_RESPONSE,
     UNSAFE_REQUEST,
     AttemptDriver,
     SlowReadingEndpoint,
@@ -82,3 +85,19 @@
     received = await read_to_end(endpoint_socket)
     assert len(received) == received.index(b"\r\n\r\n") + 4 + 20_000 - 1
     assert endpoint.driver.ends == [(Outcome.NOT_SENT, None)]
+
+
+@pytest.mark.parametrize("response", [OK_RESPONSE, b"HTTP/1.1 200 OK\r\n\r\npage"])
+@async_test
+async def test_response_that_comes_before_the_last_byte_is_not_taken(response: bytes) -> None:
+    """Guards against a second copy of another response that is taken while the request is being written.
+
+    The endpoint cannot have executed the request without its last byte.
+    """
+    endpoint = SlowReadingEndpoint()
+    endpoint_socket = await endpoint.accept_request(1_000_000, math.inf)
+    await asyncio.get_running_loop().sock_sendall(endpoint_socket, response)
+    endpoint_socket.shutdown(socket.SHUT_WR)
+    await wait_until(lambda: endpoint.driver.ends)
+    assert endpoint.driver.ends == [(Outcome.CONNECT_FAILED, None)]
+    assert len(await read_to_end(endpoint_socket)) < 1_000_000
