--- a/http_gateway/net/frontend/client_connection.py
+++ b/http_gateway/net/frontend/client_connection.py
@@ -138,9 +138,13 @@
         self._is_writing_paused = True
 
     def resume_writing(self) -> None:
-        """Resume handling the queued requests."""
+        """Resume handling the queued requests.
+
+        They are handled in a later callback, because a response may close the connection. Asyncio reports the
+        loss of a connection twice if it is closed in this callback.
+        """
         self._is_writing_paused = False
-        self._handle_queued_requests()
+        self._loop.call_soon(self._handle_queued_requests)
 
     def eof_received(self) -> None:
         """Abandon the client's requests after the client has closed its sending side.
--- a/http_gateway/net/upstream/connection.py
+++ b/http_gateway/net/upstream/connection.py
@@ -163,10 +163,16 @@
         self._is_request_written = False
 
     def resume_writing(self) -> None:
-        """Write the deferred byte, since the kernel has accepted all other bytes."""
+        """Complete the request, since the kernel has accepted all written bytes.
+
+        The deferred byte is written in a later callback, because that may abort the connection. Asyncio
+        reports the loss of a connection twice if it is aborted in this callback.
+        """
         self._is_write_blocked = False
-        if self._attempt is not None:
-            self._write_deferred_byte(self._attempt)
+        if self._deferred_byte:
+            self._loop.call_soon(self._complete_request)
+        else:
+            self._is_request_written = self.is_open
 
     def on_data(self, data: memoryview) -> None:
         """Parse the response to the current request; close the connection if there is no request."""
@@ -224,6 +230,10 @@
         self._deferred_byte = request[count:]
         self._transport.write(request[:count])
 
+    def _complete_request(self) -> None:
+        if self._attempt is not None and self._deferred_byte:
+            self._write_deferred_byte(self._attempt)
+
     def _write_deferred_byte(self, attempt: UpstreamAttempt) -> None:
         """Write the deferred byte, if there is one, which completes the request.
 
--- a/tests/integration/test_abort_on_resumed_writing.py
+++ b/tests/integration/test_abort_on_resumed_writing.py
@@ -1,4 +1,4 @@
-"""An attempt whose client left while its request was blocked ends without an error in the event loop."""
+"""Connections that are closed as writing resumes end without an error in the event loop."""
 
 from __future__ import annotations
 
@@ -7,7 +7,8 @@
 from typing import Any
 
 from http_gateway.policy.events import Outcome
-from tests.support.loopback import async_test, wait_until
+from tests.support.loopback import async_test, respond_with, running_gateway, start_peers, wait_until
+from tests.support.races import request_until, wait_for_only_connection
 from tests.support.upstream import SlowReadingEndpoint, read_to_end
 
 
@@ -25,3 +26,26 @@
     await asyncio.sleep(0.05)
     assert endpoint.driver.ends[0].outcome is Outcome.NOT_SENT
     assert errors == []
+
+
+@async_test
+async def test_client_connection_that_is_closed_as_writing_resumes_causes_no_loop_error() -> None:
+    """A queued request asks for the close of its connection and is answered as soon as writing resumes."""
+    errors: list[dict[str, Any]] = []
+    asyncio.get_running_loop().set_exception_handler(lambda _, context: errors.append(context))
+    async with (
+        start_peers(respond_with(body=bytes(60_000))) as (endpoint,),
+        running_gateway(endpoint.endpoint_entry()) as gateway,
+    ):
+        client = await gateway.connect()
+        client.pause_reading()
+        connection = await wait_for_only_connection(gateway)
+        connection.transport.asyncio_transport.set_write_buffer_limits(high=0)
+        await request_until(lambda: connection.is_writing_paused, client, connection)
+        client.writer.write(b"GET /up HTTP/1.1\r\nConnection: close\r\n\r\n")
+        await wait_until(lambda: connection.requests)
+        client.resume_reading()
+        assert (await client.read_until_closed()).endswith(b"connection: close\r\n\r\n")
+        await wait_until(lambda: not gateway.frontend.connections)
+        await asyncio.sleep(0.05)
+    assert errors == []
