Use a connection again only after the longest round trip

A copy that the kernel of the endpoint holds back leaves when the acknowledgement arrives there, and comes a round trip after the first copy. An endpoint may also write the copy some milliseconds late, on a path whose delay varies.

Change: the reuse delay is 60 ms in place of 10 ms. What bounds it: the longest round trip, and 20 ms for a late write and variation.

test_second_copy_that_comes_within_a_round_trip_is_not_matched_to_another_request (copies 20 and 40 ms late) failed 6 of 6 times with 10 ms, passes 6 of 6 now.

--- a/http_gateway/net/upstream/connection.py
+++ b/http_gateway/net/upstream/connection.py
@@ -20,9 +20,10 @@
 
 log = logging.getLogger(__name__)
 
-# Seconds after a response before the connection is used again. An endpoint may send a second response a few
-# milliseconds later, which would be mistaken for the response to the next request.
-REUSE_DELAY_S = 0.01
+# Seconds after a response before the connection is used again. A second response would be mistaken for the
+# response to the next request. An endpoint may send one some milliseconds after the first. If its kernel
+# holds the second one back until the first is acknowledged, it comes a round trip later, up to 40 ms.
+REUSE_DELAY_S = 0.06
 _MS_PER_S = 1000
 # Option that makes the kernel acknowledge received bytes at once; None on systems without it.
 _QUICK_ACK: int | None = getattr(socket, "TCP_QUICKACK", None)
--- a/tests/integration/test_upstream_reuse.py
+++ b/tests/integration/test_upstream_reuse.py
@@ -16,6 +16,7 @@
 from http_gateway.policy.events import Outcome
 from tests.support.loopback import (
     LoopbackPeer,
+    PeerScript,
     async_test,
     never_respond,
     respond_with,
@@ -194,22 +195,12 @@
         assert endpoint.connection_count == 2
 
 
-@async_test
-async def test_second_copy_held_back_by_the_endpoint_kernel_is_not_matched_to_another_request() -> None:
-    """Guards against a client that gets the response to the request of another client.
+async def _check_that_no_copy_is_matched(script: PeerScript) -> None:
+    """Check that each client request gets its own response, although the endpoint sends some twice.
 
-    The endpoint writes a response twice in a row on a socket without TCP_NODELAY. Its kernel holds back the
-    second copy until the gateway has acknowledged the first one.
+    Args:
+        script: Sends the id of each request as the body; twice if the id ends with `twice`.
     """
-
-    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
-        writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 0)
-        request_id = request.header(b"x-request-id") or ""
-        response = write_response(HTTPStatus.OK, [], request_id.encode(), close=False)
-        writer.write(response)
-        if request_id.endswith("twice"):
-            writer.write(response)
-
     async with (
         start_peers(script) as (endpoint,),
         running_gateway(entry := endpoint.endpoint_entry()) as gateway,
@@ -224,6 +215,50 @@
                 await wait_until_reusable(gateway.pool, entry.endpoint.id)
 
 
+def _response_with_id(request_id: str) -> bytes:
+    return write_response(HTTPStatus.OK, [], request_id.encode(), close=False)
+
+
+@async_test
+async def test_second_copy_held_back_by_the_endpoint_kernel_is_not_matched_to_another_request() -> None:
+    """Guards against a client that gets the response to the request of another client.
+
+    The endpoint writes a response twice in a row on a socket without TCP_NODELAY. Its kernel holds back the
+    second copy until the gateway has acknowledged the first one.
+    """
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 0)
+        request_id = request.header(b"x-request-id") or ""
+        writer.write(_response_with_id(request_id))
+        if request_id.endswith("twice"):
+            writer.write(_response_with_id(request_id))
+
+    await _check_that_no_copy_is_matched(script)
+
+
+@pytest.mark.parametrize("late_s", [0.02, 0.04])
+@async_test
+async def test_second_copy_that_comes_within_a_round_trip_is_not_matched_to_another_request(
+    late_s: float,
+) -> None:
+    """Guards against a reuse delay below the round trip of a path of up to 20 ms one way.
+
+    The kernel of the endpoint sends a copy that it has held back when the acknowledgement has reached it, so
+    the copy comes a round trip after the first response. The next request is answered later than that.
+    """
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        request_id = request.header(b"x-request-id") or ""
+        if request_id.endswith("next"):
+            await asyncio.sleep(2 * late_s)
+        writer.write(_response_with_id(request_id))
+        if request_id.endswith("twice"):
+            asyncio.get_running_loop().call_later(late_s, writer.write, _response_with_id(request_id))
+
+    await _check_that_no_copy_is_matched(script)
+
+
 @async_test
 async def test_second_copy_of_a_rejection_is_not_matched_to_another_request(
     monkeypatch: pytest.MonkeyPatch,
