--- a/tests/integration/test_abort_on_resumed_writing.py
+++ b/tests/integration/test_abort_on_resumed_writing.py
@@ -8,7 +8,7 @@
 
 from http_gateway.policy.events import Outcome
 from tests.support.loopback import async_test, respond_with, running_gateway, start_peers, wait_until
-from tests.support.races import request_until, wait_for_only_connection
+from tests.support.races import connect_without_reading, request_until
 from tests.support.upstream import SlowReadingEndpoint, read_to_end
 
 
@@ -37,9 +37,7 @@
         start_peers(respond_with(body=bytes(60_000))) as (endpoint,),
         running_gateway(endpoint.endpoint_entry()) as gateway,
     ):
-        client = await gateway.connect()
-        client.pause_reading()
-        connection = await wait_for_only_connection(gateway)
+        client, connection = await connect_without_reading(gateway)
         connection.transport.asyncio_transport.set_write_buffer_limits(high=0)
         await request_until(lambda: connection.is_writing_paused, client, connection)
         client.writer.write(b"GET /up HTTP/1.1\r\nConnection: close\r\n\r\n")
--- a/tests/integration/test_client_races.py
+++ b/tests/integration/test_client_races.py
@@ -23,6 +23,7 @@
     PAGE,
     call_after_connecting,
     connect_blocking_client,
+    connect_without_reading,
     outcomes,
     pause_reading_until_unread,
     read_responses,
@@ -115,9 +116,7 @@
         start_peers(respond_with(body=bytes(60_000))) as (endpoint,),
         running_gateway(endpoint.endpoint_entry()) as gateway,
     ):
-        client = await gateway.connect()
-        client.pause_reading()
-        connection = await wait_for_only_connection(gateway)
+        client, connection = await connect_without_reading(gateway)
         await request_until(lambda: connection.is_writing_paused, client, connection)
         forwarded_count = len(endpoint.requests)
         client.writer.write(request_bytes())
@@ -136,9 +135,7 @@
         start_peers(respond_with(body=bytes(60_000))) as (endpoint,),
         running_gateway(endpoint.endpoint_entry()) as gateway,
     ):
-        client = await gateway.connect()
-        client.pause_reading()
-        connection = await wait_for_only_connection(gateway)
+        client, connection = await connect_without_reading(gateway)
         connection.transport.asyncio_transport.set_write_buffer_limits(high=2**30)
         await request_until(lambda: connection.unsent_bytes, client, connection)
         endpoint.script = never_respond
@@ -157,9 +154,7 @@
         start_peers(respond_with(body=bytes(60_000))) as (endpoint,),
         running_gateway(endpoint.endpoint_entry()) as gateway,
     ):
-        client = await gateway.connect()
-        client.pause_reading()
-        connection = await wait_for_only_connection(gateway)
+        client, connection = await connect_without_reading(gateway)
         await request_until(lambda: connection.is_writing_paused, client, connection)
         client.writer.write_eof()
         await wait_until(lambda: not gateway.frontend.connections)
--- a/tests/support/races.py
+++ b/tests/support/races.py
@@ -60,6 +60,13 @@
     return next(other for other in connections if other.requests.has_partial_request)
 
 
+async def connect_without_reading(gateway: RunningGateway) -> tuple[LoopbackClient, ClientConnection]:
+    """Open the only client connection, on which the client does not read its responses."""
+    client = await gateway.connect()
+    client.pause_reading()
+    return client, await wait_for_only_connection(gateway)
+
+
 async def request_until(
     condition: Callable[[], object], client: LoopbackClient, connection: ClientConnection
 ) -> None:
