--- a/http_gateway/net/upstream/connection.py
+++ b/http_gateway/net/upstream/connection.py
@@ -178,7 +178,7 @@
     def on_data(self, data: memoryview) -> None:
         """Parse the response to the current request; close the connection if there is no request."""
         if self._attempt is None:  # these bytes would be taken for the response to the next request
-            self._log_excess_bytes(idle_s=self._loop.time() - self._idle_since_at_s)
+            self._log_unrequested_bytes(idle_s=self._loop.time() - self._idle_since_at_s)
             self.drop()
             return
         self._acknowledge_at_once()
@@ -190,7 +190,7 @@
                 len(responses) == 1 and not self._reader.has_partial_message and self._reader.error is None
             )
             if not is_only_response:
-                self._log_excess_bytes(idle_s=0.0)
+                self._log_unrequested_bytes(idle_s=0.0)
             self._end_attempt(responses[0], self._is_request_written and is_only_response)
         elif self._reader.error is not None:
             log.warning(
@@ -199,7 +199,7 @@
             self._fail()
 
     def eof_received(self) -> None:
-        """Take a response that ends with the connection; close the connection after the endpoint's side."""
+        """End the attempt, with the response that the end of the connection completes, if there is one."""
         response = self._reader.end_of_stream() if self._attempt is not None else None
         if response is not None:
             self._end_attempt(response, may_reuse=False)
@@ -287,7 +287,7 @@
             self._idle_timer.cancel()
             self._idle_timer = None
 
-    def _log_excess_bytes(self, idle_s: float) -> None:
+    def _log_unrequested_bytes(self, idle_s: float) -> None:
         log.warning(
             "bytes without a request endpoint_id=%d idle_ms=%d", self._owner.endpoint_id, idle_s * _MS_PER_S
         )
