Let the soak's endpoints send responses twice or without a length

One response in ten is sent twice on sockets without TCP_NODELAY, one in twenty ends with its connection. The draws of the other faults are as before.

--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -36,7 +36,11 @@
 
 @dataclass
 class RequestRecord:
-    """One request as its client saw it."""
+    """One request as its client saw it.
+
+    Attributes:
+        is_foreign: Whether the response was made for another request.
+    """
 
     id: str
     gateway: str
@@ -46,6 +50,7 @@
     end: RequestEnd = RequestEnd.NONE
     ended_at_s: float = 0.0
     status: int = 0
+    is_foreign: bool = False
 
 
 @dataclass
@@ -101,6 +106,8 @@
             allowed_s = (
                 request.timeout_s + LIMIT_SLACK_S + ANSWER_SLACK_S + self.lag_before(request.ended_at_s)
             )
+            if request.is_foreign:
+                broken.append(f"lost: {request.id} at {request.gateway}: response to another request")
             if request.end is not RequestEnd.ANSWERED:
                 broken.append(
                     f"lost: {request.id} at {request.gateway}: {request.end.value} after {took_s:.3f} s"
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -62,7 +62,10 @@
     random = Random(f"{seed} soak")
     history = History(WINDOW_S, DRAIN_GRACE_S)
     names = [f"s-{number}" for number in range(ENDPOINT_COUNT)]
-    endpoints = [Endpoint(name, Random(f"{seed} {name}"), history) for name in names]
+    endpoints = [
+        Endpoint(name, Random(f"{seed} {name}"), Random(f"{seed} {name} responses"), history)
+        for name in names
+    ]
     discovery = Discovery(endpoints, history)
     for endpoint in endpoints:
         await endpoint.start()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,8 +6,10 @@
 import contextlib
 import itertools
 import signal
+import socket
 import time
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -26,6 +28,8 @@
 WINDOW_S = 0.6
 LONGEST_TIMEOUT_S = 1.4
 KEPT_CONNECTION_PART = 0.6  # of the requests are sent on a kept connection, where there is one
+NO_LENGTH_PART = 0.05  # of the responses
+SECOND_COPY_PART = 0.1  # of the responses
 SIGKILL_AFTER_S = LONGEST_TIMEOUT_S + 0.7
 HEARTBEAT_S = 0.005
 WATCH_HEARTBEAT_S = 2.0
@@ -58,12 +62,20 @@
 
 
 class Endpoint:
-    """An endpoint with one address for each gateway, so that it can tell the gateways apart."""
+    """An endpoint with one address for each gateway, so that it can tell the gateways apart.
 
-    def __init__(self, name: str, random: Random, history: History) -> None:
+    Args:
+        name: The name of the endpoint.
+        random: Draws how each request ends.
+        response_random: Draws the form of each response.
+        history: Records the attempts.
+    """
+
+    def __init__(self, name: str, random: Random, response_random: Random, history: History) -> None:
         self.name = name
         self.phase = "Ready"
         self._random = random
+        self._response_random = response_random
         self._history = history
         self._peers = {gateway: LoopbackPeer(self._script(gateway), name) for gateway in GATEWAYS}
 
@@ -101,11 +113,24 @@
                 abort_with_reset(writer)
             else:
                 await asyncio.sleep(self._random.expovariate(1 / 0.06))
-                status = 500 if draw < 0.15 else 200
-                writer.write(write_response(status, [], attempt.request_id.encode(), close=False))
+                self._respond(500 if draw < 0.15 else 200, attempt.request_id.encode(), writer)
 
         return answer
 
+    def _respond(self, status: int, body: bytes, writer: asyncio.StreamWriter) -> None:
+        """Send a response once, twice in a row, or without a length so that its connection ends it."""
+        # Without TCP_NODELAY the kernel may hold the second copy back.
+        writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 0)
+        draw = self._response_random.random()
+        if draw < NO_LENGTH_PART:
+            writer.write(b"HTTP/1.1 %d Status\r\n\r\n%s" % (status, body))
+            writer.close()
+            return
+        response = write_response(status, [], body, close=False)
+        writer.write(response)
+        if draw < NO_LENGTH_PART + SECOND_COPY_PART:
+            writer.write(response)
+
 
 class Discovery:
     """A discovery agent of each gateway; all of them send the same changes."""
@@ -272,6 +297,7 @@
             record.end = RequestEnd.NOT_TAKEN if may_be_reset and not was_read else RequestEnd.CLOSED
         else:
             record.end, record.status = RequestEnd.ANSWERED, response.status
+            record.is_foreign = response.status == HTTPStatus.OK and response.body.decode() != record.id
             if response.keep_alive:
                 self._kept[record.gateway].append(client)
             else:
--- a/tests/unit/test_soak_history.py
+++ b/tests/unit/test_soak_history.py
@@ -41,6 +41,12 @@
     assert [text.split(":")[0] for text in history(end, took_s).broken_rules()] == ["lost"]
 
 
+def test_response_to_another_request_is_lost() -> None:
+    judged = history()
+    judged.requests["1"].is_foreign = True
+    assert judged.broken_rules() == ["lost: 1 at n0: response to another request"]
+
+
 def test_lag_of_the_soak_itself_is_not_held_against_the_gateway() -> None:
     judged = history(took_s=1.08)
     judged.lags.append((SENT_AT_S + 1.0, 0.05))
