Log why client connections end and requests are rejected, and the memory in use

Added: a line for each rejected request with its status and reason, a line for each close by the gateway with its reason (limited by reason), the resident memory at the start, and a warning above nine tenths of the limit with the counts of connections, requests and buffered bytes. limits.memory_mb is read from now on; nothing is enforced yet.

Checked with the tests of client connections, limits, malformed requests and configuration, which pass.

--- a/http_gateway/net/config.py
+++ b/http_gateway/net/config.py
@@ -20,6 +20,8 @@
 MAX_FILE_BYTES = 16 * 1024 * 1024  # a file that lists thousands of endpoints is smaller than 1 MiB
 DEFAULT_IDLE_TIMEOUT_US = 15 * US_PER_S
 DEFAULT_MAX_DESCRIPTORS = 1024
+DEFAULT_MEMORY_MB = 192
+BYTES_PER_MB = 1_000_000  # the smaller reading of the unit, as the limit may be meant in either
 
 # Fields of the file that an environment variable overrides. The variables for `name` and `listen` apply at
 # startup and at each reload. PROXY_DISCOVERY applies at startup only, so that a reload can change the
@@ -45,6 +47,7 @@
     connect_timeout_s: float
     idle_timeout_s: float  # endpoints close idle connections after this time or earlier
     max_descriptors: int  # file descriptors that the process may open
+    memory_limit_bytes: int  # resident memory over which the process is killed
 
 
 def load_config(environment: Mapping[str, str]) -> GatewayConfig:
@@ -116,7 +119,9 @@
     settings = read_settings(fields.value("settings"))
     permissions = fields.child("settings").child("permissions")
     idle_timeout_us = permissions.integer("connIdle", DEFAULT_IDLE_TIMEOUT_US)
-    max_descriptors = fields.child("limits").integer("sockets", DEFAULT_MAX_DESCRIPTORS)
+    limits = fields.child("limits")
+    max_descriptors = limits.integer("sockets", DEFAULT_MAX_DESCRIPTORS)
+    memory_mb = limits.integer("memory_mb", DEFAULT_MEMORY_MB)
     return GatewayConfig(
         name=fields.text("name"),
         listen_address=_read_address(fields, "listen", min_port=0),
@@ -127,6 +132,7 @@
         connect_timeout_s=settings.connect_timeout_us / US_PER_S,
         idle_timeout_s=idle_timeout_us / US_PER_S,
         max_descriptors=_limit_descriptors(max_descriptors),
+        memory_limit_bytes=memory_mb * BYTES_PER_MB,
     )
 
 
--- a/http_gateway/net/frontend/client_connection.py
+++ b/http_gateway/net/frontend/client_connection.py
@@ -12,6 +12,7 @@
 from http_gateway.net.frontend.arrival_times import ArrivalTimes
 from http_gateway.net.frontend.client_transport import ClientTransport
 from http_gateway.net.frontend.connection_limits import BufferLimit, ConnectionLimits
+from http_gateway.net.frontend.connection_log import CloseReason, log_closed, log_rejected
 from http_gateway.net.frontend.in_flight_request import InFlightRequest, RequestIdRegistry
 from http_gateway.net.frontend.request_parsing import InvalidRequestError, RequestParser
 from http_gateway.net.frontend.request_queue import ReceivedRequest, RequestQueue
@@ -23,6 +24,7 @@
 log = logging.getLogger(__name__)
 
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_OVER_LIMIT = "too many requests or bytes are waiting"
 
 
 class FrontendState(NamedTuple):
@@ -116,8 +118,7 @@
         if self._frontend.limits.admit(self):
             self._frontend.limits.start_receive_timeout(self)
         else:
-            self._is_reading = False
-            self.transport.abort()
+            self.drop(CloseReason.CONNECTION_LIMIT)
 
     def on_data(self, data: memoryview) -> None:
         """Parse received bytes and handle the requests that they complete."""
@@ -126,7 +127,7 @@
             return
         self.requests.feed(data, arrived_after_s)
         if self.requests.error is not None:
-            self._reject(self.requests.error.status)
+            self._reject(self.requests.error.status, str(self.requests.error))
         elif self.requests.is_over_limit:
             self._reject_over_limit()
         else:
@@ -171,12 +172,21 @@
         other connection is dropped.
         """
         if self.requests.has_partial_request and self._is_reading:
-            self._reject(HTTPStatus.REQUEST_TIMEOUT)
-        elif not self._is_reading or self.unsent_bytes or not self.has_unread_bytes:
-            self.drop()
-
-    def drop(self) -> None:
-        """Abort the connection without sending the responses that are still buffered."""
+            self._reject(HTTPStatus.REQUEST_TIMEOUT, "the request did not arrive in time")
+        elif self.unsent_bytes:
+            self.drop(CloseReason.UNREAD_RESPONSE)
+        elif not self._is_reading:
+            self.drop(CloseReason.LINGER_TIMEOUT)
+        elif not self.has_unread_bytes:
+            self.drop(CloseReason.IDLE_TIMEOUT)
+
+    def drop(self, reason: CloseReason) -> None:
+        """Abort the connection without sending the responses that are still buffered.
+
+        Args:
+            reason: Why the connection is closed, for the log.
+        """
+        log_closed(reason, self.unsent_bytes)
         self._frontend.limits.stop_timeout(self)
         self._is_reading = False
         self.transport.abort()
@@ -184,6 +194,7 @@
     def close_if_idle(self) -> None:
         """Close the connection if it is between requests; a request that has started to arrive is handled."""
         if self.is_idle and not self.has_unread_bytes:
+            log_closed(CloseReason.SHUTDOWN)
             self._is_reading = False
             self.transport.close()
 
@@ -197,7 +208,7 @@
             try:
                 self._handle_request(request)
             except InvalidRequestError as error:
-                self._reject(error.status)
+                self._reject(error.status, str(error))
             except Exception:
                 log.exception('request handling failed request_id="%s"', message.header(b"x-request-id"))
                 self._respond(Response(HTTPStatus.INTERNAL_SERVER_ERROR))
@@ -231,7 +242,7 @@
         self._closes_after_response = self._is_last_response()
         self._write(response)
         if self._is_over_limit:
-            self._reject(HTTPStatus.TOO_MANY_REQUESTS)
+            self._reject(HTTPStatus.TOO_MANY_REQUESTS, _OVER_LIMIT)
             return
         if self._closes_after_response:
             self._stop_reading()
@@ -258,12 +269,17 @@
         if self.requests:
             self._loop.call_soon(self._handle_queued_requests)
 
-    def _reject(self, status: HTTPStatus) -> None:
+    def _reject(self, status: HTTPStatus, reason: str) -> None:
         """Respond with an error and parse no further bytes, because the start of the next request is unknown.
 
         A request in flight is abandoned, because malformed bytes after it show that its declared length, and
         so its body, was wrong.
+
+        Args:
+            status: The status of the response.
+            reason: What is wrong, for the log.
         """
+        log_rejected(status, reason, self.requests.started_request_count)
         self.in_flight.abandon()
         self._stop_reading()
         self._closes_after_response = True
@@ -282,7 +298,7 @@
         self._stop_reading()
         self._is_over_limit = True
         if not self.in_flight.is_active:
-            self._reject(HTTPStatus.TOO_MANY_REQUESTS)
+            self._reject(HTTPStatus.TOO_MANY_REQUESTS, _OVER_LIMIT)
 
     def _stop_reading(self) -> None:
         self._is_reading = False
--- a/http_gateway/net/frontend/connection_limits.py
+++ b/http_gateway/net/frontend/connection_limits.py
@@ -7,6 +7,8 @@
 from collections.abc import Set as AbstractSet
 from typing import Generic, Protocol, TypeVar
 
+from http_gateway.net.frontend.connection_log import CloseReason
+
 # Limit on the request bytes that all client connections buffer together.
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
 # Time allowed to receive a complete request, counted from the start of the connection or of the request.
@@ -66,7 +68,7 @@
     def on_timeout(self) -> None:
         """Handle the expiry of the connection's timeout."""
 
-    def drop(self) -> None:
+    def drop(self, reason: CloseReason) -> None:
         """Close the connection at once."""
 
 
@@ -164,11 +166,11 @@
         """
         oldest = next(iter(self._timeouts_at_s))
         candidates = (connection for connection in self._timeouts_at_s if not connection.has_unread_bytes)
-        next(candidates, oldest).drop()
+        next(candidates, oldest).drop(CloseReason.EVICTED)
 
     def _evict_idle_connection(self) -> None:
         """Drop the longest idle connection that has nothing to read or send, if there is one."""
         for connection in self._timeouts_at_s:
             if connection.is_idle and not connection.unsent_bytes and not connection.has_unread_bytes:
-                connection.drop()
+                connection.drop(CloseReason.EVICTED)
                 return
--- a/http_gateway/service.py
+++ b/http_gateway/service.py
@@ -19,6 +19,7 @@
 from http_gateway.net.frontend.listener import Frontend
 from http_gateway.net.log_rate_limit import LogRateLimiter
 from http_gateway.net.loop_lag import LoopLagMonitor
+from http_gateway.net.process_memory import MemoryMonitor
 from http_gateway.net.request_dispatcher import RequestDispatcher
 from http_gateway.net.upstream.pool import UpstreamPool
 from http_gateway.policy.balancer import Balancer
@@ -71,6 +72,7 @@
         )
         self._reloader = ConfigReloader(config, self._discovery, os.environ)
         self._lag_monitor = LoopLagMonitor()
+        self._memory_monitor = MemoryMonitor(config.memory_limit_bytes, self._describe_usage)
         self._stop_requested = asyncio.Event()
 
     async def run(self, early_sighups: Sequence[int]) -> None:
@@ -96,6 +98,7 @@
         finally:
             self._discovery.stop()
             self._lag_monitor.stop()
+            self._memory_monitor.stop()
 
     async def _bind(self) -> socket.socket:
         """Bind the listening socket; a shortage of system resources is waited out for a short time."""
@@ -135,8 +138,17 @@
         # collections short, so that these do not delay the event loop.
         gc.collect()
         gc.freeze()
+        self._memory_monitor.start()
         log.info("listening name=%s address=%s:%d", self._config.name, self._config.listen_address[0], port)
 
+    def _describe_usage(self) -> str:
+        return (
+            f"client_connections={len(self._frontend.connections)}"
+            f" endpoint_connections={self._pool.open_descriptors}"
+            f" requests={self._dispatcher.in_flight_count}"
+            f" request_buffer_bytes={self._frontend.buffered_bytes}"
+        )
+
     async def _shut_down(self) -> None:
         """Accept connections for a short time, then stop listening and answer the requests received.
 
