--- /dev/null
+++ b/tests/integration/test_memory_limit.py
@@ -0,0 +1,73 @@
+"""The gateway stays under its memory limit whatever its peers send, and serves sound clients meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from http_gateway.net.http.messages import Message
+from tests.support import crowd
+from tests.support.crowd import ClientScript, SoundClients
+from tests.support.discovery import WATCH_HEAD, chunk, list_document
+from tests.support.loopback import LoopbackPeer, PeerScript, async_test, respond_with, start_peers
+from tests.support.process_memory import open_descriptors, peak_resident_bytes
+from tests.support.service import config_document, listening_port, running_service
+
+# The least memory and the most descriptors that the operators' pages name.
+MEMORY_MB = 32
+MAX_DESCRIPTORS = 1024
+BYTES_PER_MB = 1_000_000
+LIMITS = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": MAX_DESCRIPTORS}
+ENDPOINT_COUNT = 13
+CROWD_SIZE = 400
+SOUND_CLIENTS = 40
+SOUND_INTERVAL_S = 0.4
+DURATION_S = 4.0
+MIN_SERVED_SHARE = 0.9
+
+
+@asynccontextmanager
+async def running_limited_service(
+    folder: Path, script: PeerScript
+) -> AsyncIterator[tuple[int, asyncio.subprocess.Process]]:
+    """Run endpoints and a gateway with the least memory; yields its port and its process."""
+
+    async def send_list(request: Message, writer: asyncio.StreamWriter) -> None:
+        entries = [endpoint.list_entry() for endpoint in endpoints]
+        writer.write(WATCH_HEAD + chunk(list_document(42, *entries)))
+
+    async with start_peers(*[script] * ENDPOINT_COUNT, send_list) as peers:
+        endpoints: list[LoopbackPeer] = peers[:-1]
+        document = config_document(peers[-1].port, limits=LIMITS)
+        async with running_service(folder, document, MAX_DESCRIPTORS) as process:
+            yield await listening_port(process), process
+
+
+CROWDS: dict[str, tuple[ClientScript, PeerScript]] = {
+    "short fields": (crowd.send_short_fields, respond_with()),
+    "half a body": (crowd.stop_half_way, respond_with()),
+    "slow bodies": (crowd.write_slowly, respond_with()),
+}
+
+
+@pytest.mark.parametrize("name", CROWDS)
+@async_test
+async def test_process_over_its_memory_limit_under_a_crowd(tmp_path: Path, name: str) -> None:
+    """Guards against the incident of 2026-12-05, in which crowds took the process over its limit."""
+    client_script, endpoint_script = CROWDS[name]
+    async with running_limited_service(tmp_path, endpoint_script) as (port, process):
+        sound = SoundClients(port)
+        async with crowd.crowd(port, CROWD_SIZE, client_script):
+            await sound.run(SOUND_CLIENTS, DURATION_S, SOUND_INTERVAL_S)
+            descriptors = open_descriptors(process.pid)
+        peak = peak_resident_bytes(process.pid)
+        print(f"{name}: peak {peak / BYTES_PER_MB:.1f} MB, descriptors {descriptors}")
+        print(f"sound clients: {dict(sound.statuses)}, worst latency {sound.worst_latency_s:.3f} s")
+        assert process.returncode is None
+        assert peak < MEMORY_MB * BYTES_PER_MB
+        assert descriptors < MAX_DESCRIPTORS
+        assert sound.served_share >= MIN_SERVED_SHARE
