Load no OpenSSL in the gateway process, which takes 5 MB that nothing uses

Cause: asyncio imports ssl and hashlib imports _hashlib where they exist, and each maps libssl and libcrypto. The gateway speaks plain TCP and uses BLAKE2, which Python brings itself.

Change: __main__ excludes both modules before anything imports them.

Loss: a later feature that needs TLS has to take the exclusion out.

--- a/http_gateway/__main__.py
+++ b/http_gateway/__main__.py
@@ -4,7 +4,12 @@
 
 import sys
 
-from http_gateway.service import main
+# asyncio and hashlib import the bindings of OpenSSL if they are there, which takes 5 MB. The gateway uses
+# neither TLS nor OpenSSL's hashes, and both libraries work without the bindings.
+for _module in ("ssl", "_hashlib"):
+    sys.modules.setdefault(_module, None)  # type: ignore[arg-type]
+
+from http_gateway.service import main  # noqa: E402 the bindings are excluded first
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/integration/test_memory_limit.py
+++ b/tests/integration/test_memory_limit.py
@@ -71,3 +71,12 @@
         assert peak < MEMORY_MB * BYTES_PER_MB
         assert descriptors < MAX_DESCRIPTORS
         assert sound.served_share >= MIN_SERVED_SHARE
+
+
+@async_test
+async def test_process_maps_openssl_that_it_does_not_use(tmp_path: Path) -> None:
+    """Guards against 5 MB of libraries that an import brings along."""
+    async with running_limited_service(tmp_path, respond_with()) as (_, process):
+        mapped = Path(f"/proc/{process.pid}/maps").read_text()
+    assert "libssl" not in mapped
+    assert "libcrypto" not in mapped
