Count requests by what they cost in memory, and evict incomplete ones under a crowd

Seen by callers: with 400 clients that sent heads of very many short fields, stopped half way or wrote slowly, a process with 32 MB passed its limit (153.4, 32.9 and 37.0 MB) and was killed; sound requests were lost with it.

Cause: the limit on buffered requests counted bytes on the wire (4 MiB whatever limits.memory_mb said), not what they become. A head of 16 KB with 4,000 fields took 394 KB and counted 16 KB; heads of queued requests and requests in flight counted nothing. Readers kept the last complete message of each connection twice (131 KB after a body of 64 KB). Idle connections were evicted for a crowd before their first request was read, so sound clients lost theirs.

Change: net/memory/plan.py divides limits.memory_mb, less what the process has at its start, among connections, documents and messages; net/memory/budget.py counts the messages and evicts the incomplete request that began first, unless it is under its fair share. At most 100 header fields and five requests at once are parsed. Readers keep no complete message. A connection is not evicted as idle within 0.25 s of its start.

test_buffered_bytes_are_limited_over_all_connections sets the limit by argument in place of a module constant.

Losses: a request with more than 100 header fields gets 431; one that finds no memory gets 503 or 429.

--- a/http_gateway/net/dispatched_request.py
+++ b/http_gateway/net/dispatched_request.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from http_gateway.net.client_request import ClientRequest, Response, ResponseCallback
+from http_gateway.net.memory.plan import REQUEST_STATE_BYTES
 from http_gateway.net.upstream.attempt import UpstreamAttempt
 from http_gateway.policy.endpoint import EndpointId
 from http_gateway.policy.events import Outcome
@@ -42,6 +43,9 @@
         respond: Sends the final response to the client.
         has_client_disconnected: Returns whether the client has disconnected.
         deadline_at_us: Time on the gateway's clock, in microseconds, by which the response is due.
+
+    Attributes:
+        memory_bytes: Memory of the request and of its state, which is reserved in the budget of requests.
     """
 
     def __init__(
@@ -53,6 +57,7 @@
     ) -> None:
         self.client_request = client_request
         self.deadline_at_us = deadline_at_us
+        self.memory_bytes = client_request.message.memory_bytes + REQUEST_STATE_BYTES
         self.attempts: list[DispatchedAttempt] = []
         self._respond: ResponseCallback | None = respond
         self._has_client_disconnected = has_client_disconnected
--- a/http_gateway/net/frontend/client_connection.py
+++ b/http_gateway/net/frontend/client_connection.py
@@ -11,7 +11,7 @@
 from http_gateway.net.event_loop import PollTimes
 from http_gateway.net.frontend.arrival_times import ArrivalTimes
 from http_gateway.net.frontend.client_transport import ClientTransport
-from http_gateway.net.frontend.connection_limits import BufferLimit, ConnectionLimits
+from http_gateway.net.frontend.connection_limits import ConnectionLimits
 from http_gateway.net.frontend.connection_log import CloseReason, log_closed, log_rejected
 from http_gateway.net.frontend.in_flight_request import InFlightRequest, RequestIdRegistry
 from http_gateway.net.frontend.request_parsing import InvalidRequestError, RequestParser
@@ -19,12 +19,15 @@
 from http_gateway.net.frontend.shutdown_state import ShutdownState
 from http_gateway.net.http.shared_buffer import RECEIVE_BUFFER_BYTES, SharedBufferProtocol
 from http_gateway.net.http.writer import write_response
+from http_gateway.net.memory.budget import MessageBudgets
+from http_gateway.net.memory.plan import REQUEST_STATE_BYTES
 from http_gateway.net.request_dispatcher import RequestDispatcher
 
 log = logging.getLogger(__name__)
 
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _OVER_LIMIT = "too many requests or bytes are waiting"
+_NO_MEMORY = "the requests in flight take too much memory"
 
 
 class FrontendState(NamedTuple):
@@ -33,7 +36,7 @@
     dispatcher: RequestDispatcher
     request_parser: RequestParser
     limits: ConnectionLimits[ClientConnection]
-    buffer_limit: BufferLimit
+    budgets: MessageBudgets
     request_id_registry: RequestIdRegistry
     shutdown: ShutdownState
 
@@ -61,7 +64,7 @@
     ) -> None:
         super().__init__()
         self.transport: ClientTransport  # set by `connection_made`
-        self.requests = RequestQueue(frontend.buffer_limit)
+        self.requests = RequestQueue(frontend.budgets.requests, self)
         self.in_flight = InFlightRequest(frontend.dispatcher, frontend.request_id_registry)
         self._frontend = frontend
         self._arrival_times = ArrivalTimes(poll_times, connected_after_s)
@@ -80,6 +83,11 @@
         has_request = self.in_flight.is_active or self.requests or self.requests.has_partial_request
         return self._is_reading and not has_request
 
+    @property
+    def has_begun_request(self) -> bool:
+        """Whether the client has begun to send a request at any time."""
+        return self.requests.started_request_count > 0
+
     @property
     def is_reading(self) -> bool:
         """Whether received bytes are still parsed as requests; otherwise they are discarded."""
@@ -126,6 +134,9 @@
         if not self._is_reading:
             return
         self.requests.feed(data, arrived_after_s)
+        self._frontend.budgets.requests.enforce()  # may evict the request that this connection receives
+        if not self._is_reading:
+            return
         if self.requests.error is not None:
             self._reject(self.requests.error.status, str(self.requests.error))
         elif self.requests.is_over_limit:
@@ -180,6 +191,10 @@
         elif not self.has_unread_bytes:
             self.drop(CloseReason.IDLE_TIMEOUT)
 
+    def evict(self) -> None:
+        """Reject the request that is partly received, because it takes too much memory for too long."""
+        self._reject_over_limit()
+
     def drop(self, reason: CloseReason) -> None:
         """Abort the connection without sending the responses that are still buffered.
 
@@ -220,6 +235,10 @@
             self._respond(Response(status))
             return
         client_request = self._frontend.request_parser.parse(message, request.arrived_after_s)
+        if not self._frontend.budgets.requests.has_room_for(message.memory_bytes + REQUEST_STATE_BYTES):
+            log_rejected(HTTPStatus.SERVICE_UNAVAILABLE, _NO_MEMORY, self.requests.started_request_count)
+            self._respond(Response(HTTPStatus.SERVICE_UNAVAILABLE))
+            return
         self.in_flight.submit(client_request, self._respond, self._has_client_disconnected)
 
     def _has_client_disconnected(self) -> bool:
--- a/http_gateway/net/frontend/connection_limits.py
+++ b/http_gateway/net/frontend/connection_limits.py
@@ -1,4 +1,4 @@
-"""Limits on the number, the buffered bytes and the waiting times of all client connections."""
+"""Limits on the number and the waiting times of all client connections."""
 
 from __future__ import annotations
 
@@ -9,8 +9,6 @@
 
 from http_gateway.net.frontend.connection_log import CloseReason
 
-# Limit on the request bytes that all client connections buffer together.
-MAX_BUFFERED_BYTES = 4 * 1024 * 1024
 # Time allowed to receive a complete request, counted from the start of the connection or of the request.
 RECEIVE_TIMEOUT_S = 2.0
 # Time that a connection is kept open after a response. Some clients send one request and never close the
@@ -23,31 +21,8 @@
 # network address translation or a connection pool may be limited to fewer connections than the gateway
 # accepts, and idle connections would use up that limit.
 IDLE_EVICTION_FRACTION = 0.5
-
-
-class BufferLimit:
-    """Counts the bytes of queued and incomplete requests on all client connections together."""
-
-    def __init__(self) -> None:
-        self._buffered_bytes = 0
-
-    @property
-    def buffered_bytes(self) -> int:
-        """Number of request bytes that are buffered now."""
-        return self._buffered_bytes
-
-    @property
-    def is_exceeded(self) -> bool:
-        """Whether more than `MAX_BUFFERED_BYTES` are buffered."""
-        return self._buffered_bytes > MAX_BUFFERED_BYTES
-
-    def adjust(self, change_bytes: int) -> None:
-        """Record a change in the number of bytes that one connection buffers.
-
-        Args:
-            change_bytes: The difference in bytes; negative if the connection buffers less than before.
-        """
-        self._buffered_bytes += change_bytes
+# A connection is not evicted as idle within this time from its start, as its first request may be on its way.
+NEW_CONNECTION_S = 0.25
 
 
 class LimitedConnection(Protocol):
@@ -57,6 +32,10 @@
     def is_idle(self) -> bool:
         """Whether the connection has no request in flight, queued or partly received."""
 
+    @property
+    def has_begun_request(self) -> bool:
+        """Whether the client has begun to send a request at any time."""
+
     @property
     def has_unread_bytes(self) -> bool:
         """Whether the socket holds received bytes that asyncio has not read yet."""
@@ -170,7 +149,11 @@
 
     def _evict_idle_connection(self) -> None:
         """Drop the longest idle connection that has nothing to read or send, if there is one."""
-        for connection in self._timeouts_at_s:
-            if connection.is_idle and not connection.unsent_bytes and not connection.has_unread_bytes:
+        new_until_s = self._loop.time() - NEW_CONNECTION_S + RECEIVE_TIMEOUT_S
+        for connection, timeout_at_s in self._timeouts_at_s.items():
+            is_new = not connection.has_begun_request and timeout_at_s > new_until_s
+            if is_new or not connection.is_idle or connection.unsent_bytes:
+                continue
+            if not connection.has_unread_bytes:
                 connection.drop(CloseReason.EVICTED)
                 return
--- a/http_gateway/net/frontend/listener.py
+++ b/http_gateway/net/frontend/listener.py
@@ -9,10 +9,11 @@
 from http_gateway.net.event_loop import running_poll_times
 from http_gateway.net.frontend.acceptor import Acceptor
 from http_gateway.net.frontend.client_connection import ClientConnection, FrontendState
-from http_gateway.net.frontend.connection_limits import BufferLimit, ConnectionLimits
+from http_gateway.net.frontend.connection_limits import ConnectionLimits
 from http_gateway.net.frontend.in_flight_request import RequestIdRegistry
 from http_gateway.net.frontend.request_parsing import RequestParser
 from http_gateway.net.frontend.shutdown_state import ShutdownState
+from http_gateway.net.memory.budget import MessageBudgets
 from http_gateway.net.request_dispatcher import RequestDispatcher
 from http_gateway.policy.settings import Settings
 
@@ -27,15 +28,22 @@
         dispatcher: Forwards the clients' requests to endpoints.
         settings: Settings that contain the request classes.
         max_connections: The number of client connections that may be open at the same time.
+        budgets: The budgets of requests and responses.
     """
 
-    def __init__(self, dispatcher: RequestDispatcher, settings: Settings, max_connections: int) -> None:
+    def __init__(
+        self,
+        dispatcher: RequestDispatcher,
+        settings: Settings,
+        max_connections: int,
+        budgets: MessageBudgets,
+    ) -> None:
         shutdown = ShutdownState()
         self._state = FrontendState(
             dispatcher,
             RequestParser(settings.classes, shutdown.time_left_s),
             ConnectionLimits[ClientConnection](max_connections),
-            BufferLimit(),
+            budgets,
             RequestIdRegistry(),
             shutdown,
         )
@@ -50,8 +58,8 @@
 
     @property
     def buffered_bytes(self) -> int:
-        """Number of bytes of queued and incomplete requests on all connections."""
-        return self._state.buffer_limit.buffered_bytes
+        """Memory of all requests that are received, queued or in flight, in bytes."""
+        return self._state.budgets.requests.held_bytes
 
     @property
     def reserved_request_id_count(self) -> int:
--- a/http_gateway/net/frontend/request_queue.py
+++ b/http_gateway/net/frontend/request_queue.py
@@ -5,11 +5,11 @@
 from collections import deque
 from typing import NamedTuple
 
-from http_gateway.net.frontend.connection_limits import BufferLimit
 from http_gateway.net.http.messages import MalformedMessageError, Message
 from http_gateway.net.http.reader import RequestReader
+from http_gateway.net.memory.budget import MemoryBudget, MessageHolder
 
-MAX_QUEUED_REQUESTS = 4  # pipelined requests on one connection; most clients do not pipeline
+MAX_QUEUED_REQUESTS = RequestReader.MAX_MESSAGES_AT_ONCE
 
 
 class ReceivedRequest(NamedTuple):
@@ -23,16 +23,18 @@
     """The requests received on one client connection that are not in flight yet.
 
     Args:
-        buffer_limit: Counts the bytes that all client connections buffer.
+        budget: Counts the memory of the requests of all client connections.
+        holder: The connection, which the budget may ask to drop an incomplete request.
     """
 
-    __slots__ = ("_buffer_limit", "_counted_bytes", "_queue", "_reader")
+    __slots__ = ("_budget", "_holder", "_queue", "_queued_bytes", "_reader")
 
-    def __init__(self, buffer_limit: BufferLimit) -> None:
-        self._buffer_limit = buffer_limit
+    def __init__(self, budget: MemoryBudget, holder: MessageHolder) -> None:
+        self._budget = budget
+        self._holder: MessageHolder | None = holder  # None once the connection is closed
         self._reader = RequestReader()
         self._queue: deque[ReceivedRequest] = deque()
-        self._counted_bytes = 0  # number of bytes that this connection has added to `buffer_limit`
+        self._queued_bytes = 0  # memory of the queued requests, which is reserved in the budget
 
     def __len__(self) -> int:
         """Return the number of complete requests that are queued."""
@@ -45,8 +47,8 @@
 
     @property
     def is_over_limit(self) -> bool:
-        """Whether too many requests are queued here, or too many bytes are buffered on all connections."""
-        return len(self._queue) > MAX_QUEUED_REQUESTS or self._buffer_limit.is_exceeded
+        """Whether too many requests are queued here, or all requests together take too much memory."""
+        return len(self._queue) > MAX_QUEUED_REQUESTS or self._budget.is_exceeded
 
     @property
     def has_partial_request(self) -> bool:
@@ -65,8 +67,12 @@
             data: The received bytes; `feed` must not be called after an `error`.
             arrived_after_s: Loop time after which the bytes arrived; None if it is unknown.
         """
-        self._queue.extend(ReceivedRequest(message, arrived_after_s) for message in self._reader.feed(data))
-        self._count_bytes()
+        messages = self._reader.feed(data)
+        self._queue.extend(ReceivedRequest(message, arrived_after_s) for message in messages)
+        self._reserve(sum(message.memory_bytes for message in messages))
+        if messages:  # another request is incomplete now, which began later
+            self._set_incomplete(0)
+        self._set_incomplete(self._reader.partial_memory_bytes)
 
     def pop(self) -> ReceivedRequest:
         """Remove and return the oldest request.
@@ -75,7 +81,7 @@
             IndexError: The queue is empty.
         """
         request = self._queue.popleft()
-        self._count_bytes()
+        self._reserve(-request.message.memory_bytes)
         return request
 
     def consume_continue_expectation(self) -> bool:
@@ -84,20 +90,28 @@
 
     def discard(self) -> None:
         """Drop all requests, including a partial one; `feed` must not be called after this."""
-        self._queue.clear()
+        self._clear()
         self._reader.discard()
-        self._count_bytes()
 
     def close(self) -> None:
-        """Drop all requests and release the parser."""
-        self._queue.clear()
-        self._buffer_limit.adjust(-self._counted_bytes)
-        self._counted_bytes = 0
+        """Drop all requests, and release the parser and the connection.
+
+        The connection refers to this queue, and only the garbage collector would free the reference cycle.
+        """
+        self._clear()
+        self._reader.discard()
         self._reader.close()
+        self._holder = None
+
+    def _clear(self) -> None:
+        self._queue.clear()
+        self._reserve(-self._queued_bytes)
+        self._set_incomplete(0)
+
+    def _set_incomplete(self, amount_bytes: int) -> None:
+        if self._holder is not None:
+            self._budget.set_incomplete(self._holder, amount_bytes)
 
-    def _count_bytes(self) -> None:
-        buffered_bytes = (
-            sum(len(request.message.body) for request in self._queue) + self._reader.buffered_bytes
-        )
-        self._buffer_limit.adjust(buffered_bytes - self._counted_bytes)
-        self._counted_bytes = buffered_bytes
+    def _reserve(self, amount_bytes: int) -> None:
+        self._queued_bytes += amount_bytes
+        self._budget.reserve(amount_bytes)
--- a/http_gateway/net/http/messages.py
+++ b/http_gateway/net/http/messages.py
@@ -32,6 +32,7 @@
         headers: The headers in the order in which they were received.
         body: The complete body, without its transfer encoding.
         keep_alive: Whether the connection may be used for another message.
+        memory_bytes: Memory that the parsed message takes; 0 if it was not received.
     """
 
     method: bytes = b""
@@ -40,6 +41,7 @@
     headers: Headers = field(default_factory=list)
     body: bytes = b""
     keep_alive: bool = True
+    memory_bytes: int = field(default=0, compare=False, repr=False)
 
     def header(self, name: bytes) -> str | None:
         """Return the value of the first header with this name; None if there is none.
--- a/http_gateway/net/http/reader.py
+++ b/http_gateway/net/http/reader.py
@@ -12,10 +12,18 @@
 MAX_HEAD_BYTES = 16 * 1024  # start line and headers; larger than any browser sends
 MAX_MESSAGE_BYTES = 2 * MAX_BODY_BYTES  # head, body and chunked framing
 MAX_CONTENT_LENGTH_DIGITS = 9
+MAX_HEADER_FIELDS = 100  # more than any browser sends
+# Memory of a parsed header field beside its bytes: a tuple, two objects for name and value, and a list slot.
+FIELD_MEMORY_BYTES = 192
+MESSAGE_MEMORY_BYTES = 512  # memory of a message beside its fields and its bytes
 
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
 
+class _MessageLimitReachedError(Exception):
+    """Stops the parser, because enough messages are complete."""
+
+
 class MessageReader:
     """Parses the bytes of one connection and returns complete messages.
 
@@ -24,12 +32,19 @@
         has_partial_message: Whether the start of a message was received, but not its end.
         started_message_count: Number of messages that have started to arrive, including complete ones.
         buffered_bytes: Number of bytes received since the last complete message.
+        is_message_limit_reached: Whether more messages arrived at once than the reader parses; the bytes
+            after these messages were dropped, and `feed` must not be called again.
         error: The error in the bytes after the complete messages; None if there is none.
+        MAX_MESSAGES_AT_ONCE: Number of messages in one call of `feed` after which the next one is the last
+            that is parsed.
     """
 
+    MAX_MESSAGES_AT_ONCE = 1
+
     def __init__(self) -> None:
         self.expects_continue = False
         self.has_partial_message = False
+        self.is_message_limit_reached = False
         self.started_message_count = 0
         self.buffered_bytes = 0
         self.error: MalformedMessageError | None = None
@@ -38,6 +53,7 @@
         self._body = bytearray()
         self._in_head = False
         self._head_bytes = 0
+        self._partial_bytes = 0  # upper bound on the bytes of the incomplete message
         self._parser: httptools.HttpRequestParser | httptools.HttpResponseParser
 
     def feed(self, data: bytes | memoryview) -> list[Message]:
@@ -49,22 +65,32 @@
         Returns:
             The messages that these bytes complete.
         """
-        self._complete = []
         self.buffered_bytes += len(data)
+        self._partial_bytes += len(data)
         try:
             self._parser.feed_data(data)
             self._check_size()
         except MalformedMessageError as error:
-            self.error = error
+            self._set_error(error.status, str(error))
         except httptools.HttpParserUpgrade:
-            self.error = MalformedMessageError(HTTPStatus.BAD_REQUEST, "protocol upgrades are not supported")
+            self._set_error(HTTPStatus.BAD_REQUEST, "protocol upgrades are not supported")
         except httptools.HttpParserCallbackError as error:
-            if not isinstance(error.__context__, MalformedMessageError):
-                raise
-            self.error = error.__context__
+            self._handle_callback_error(error)
         except httptools.HttpParserError as error:
-            self.error = MalformedMessageError(HTTPStatus.BAD_REQUEST, f"malformed HTTP: {error}")
-        return self._complete
+            self._set_error(HTTPStatus.BAD_REQUEST, f"malformed HTTP: {error}")
+        complete, self._complete = self._complete, []
+        if complete:
+            self._partial_bytes = len(data) if self.has_partial_message else 0
+        return complete
+
+    @property
+    def partial_memory_bytes(self) -> int:
+        """Upper bound on the memory of the incomplete message; 0 if there is none."""
+        if not self._partial_bytes:
+            return 0
+        field_bytes = len(self._message.headers) * FIELD_MEMORY_BYTES
+        # A growing body is allocated with up to an eighth more than its bytes.
+        return MESSAGE_MEMORY_BYTES + field_bytes + self._partial_bytes + len(self._body) // 8
 
     def consume_continue_expectation(self) -> bool:
         """Return whether the peer waits for a 100 (Continue) response; true only once for each message."""
@@ -73,7 +99,8 @@
 
     def discard(self) -> None:
         """Drop the incomplete message; `feed` must not be called after this."""
-        self._message, self._body, self.buffered_bytes = Message(), bytearray(), 0
+        self._message, self._body = Message(), bytearray()
+        self.buffered_bytes = self._partial_bytes = 0
 
     def close(self) -> None:
         """Release the parser.
@@ -82,6 +109,19 @@
         """
         del self._parser
 
+    def _handle_callback_error(self, error: httptools.HttpParserCallbackError) -> None:
+        cause = error.__context__
+        if isinstance(cause, MalformedMessageError):
+            self._set_error(cause.status, str(cause))
+        elif isinstance(cause, _MessageLimitReachedError):
+            self.is_message_limit_reached = True
+        else:
+            raise error
+
+    def _set_error(self, status: HTTPStatus, reason: str) -> None:
+        """Set a new error without a traceback, which would keep the whole reader alive in a cycle."""
+        self.error = MalformedMessageError(status, reason)
+
     def _check_size(self) -> None:
         # The parser reports only complete header lines. A line without an end is therefore detected by the
         # number of bytes received.
@@ -104,16 +144,23 @@
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
-        self._message.target += url
         self._head_bytes += len(url)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise _head_too_large()
+        self._message.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailer fields are dropped, because the framing was checked without them."""
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > MAX_HEAD_BYTES:
             raise _head_too_large()
-        if self._in_head:
-            self._message.headers.append((name.lower(), value))
+        if not self._in_head:
+            return
+        if len(self._message.headers) == MAX_HEADER_FIELDS:
+            raise MalformedMessageError(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "there are too many header fields"
+            )
+        self._message.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Check the framing of the message before its body is parsed."""
@@ -128,13 +175,26 @@
             raise _body_too_large()
 
     def on_message_complete(self) -> None:
-        """Add the message to the complete messages."""
-        self._message.body = bytes(self._body)
-        self._message.keep_alive = self._parser.should_keep_alive()
+        """Add the message to the complete messages, and keep no reference to it.
+
+        Raises:
+            _MessageLimitReachedError: As many messages are complete as the reader parses at once.
+        """
+        message = self._message
+        message.body = bytes(self._body)
+        message.keep_alive = self._parser.should_keep_alive()
+        message.memory_bytes = self._complete_memory_bytes()
+        self._message, self._body = Message(), bytearray()
         self.expects_continue = False
         self.has_partial_message = False
         self.buffered_bytes = 0
-        self._complete.append(self._message)
+        self._complete.append(message)
+        if len(self._complete) > self.MAX_MESSAGES_AT_ONCE:
+            raise _MessageLimitReachedError
+
+    def _complete_memory_bytes(self) -> int:
+        field_bytes = len(self._message.headers) * FIELD_MEMORY_BYTES
+        return MESSAGE_MEMORY_BYTES + field_bytes + self._head_bytes + len(self._message.body)
 
     def _framing_headers(self) -> Headers:
         return [
@@ -165,6 +225,8 @@
 class RequestReader(MessageReader):
     """Parses the requests of a client connection."""
 
+    MAX_MESSAGES_AT_ONCE = 4  # pipelined requests; most clients do not pipeline
+
     def __init__(self) -> None:
         super().__init__()
         self._parser: httptools.HttpRequestParser = httptools.HttpRequestParser(self)
@@ -194,7 +256,7 @@
         if self.error is not None or not self._is_close_delimited:
             return None
         self.on_message_complete()
-        return self._message
+        return self._complete.pop()
 
     def on_message_begin(self) -> None:
         """Start a new response."""
--- a/http_gateway/net/request_dispatcher.py
+++ b/http_gateway/net/request_dispatcher.py
@@ -20,6 +20,7 @@
 from http_gateway.net.discovery.endpoint_list import EndpointList
 from http_gateway.net.dispatched_request import DispatchedRequest, time_out
 from http_gateway.net.http.messages import Message
+from http_gateway.net.memory.budget import MemoryBudget
 from http_gateway.net.request_log import (
     log_abandoned,
     log_answered,
@@ -66,11 +67,13 @@
     Args:
         balancer: The policy.
         pool: Opens connections to endpoints and sends the attempts on them.
+        budget: Counts the memory of the requests in flight.
     """
 
-    def __init__(self, balancer: Balancer, pool: UpstreamPool) -> None:
+    def __init__(self, balancer: Balancer, pool: UpstreamPool, budget: MemoryBudget) -> None:
         self._balancer = balancer
         self._pool = pool
+        self._budget = budget
         self._clock = Clock()
         self._loop = asyncio.get_running_loop()
         self._requests: dict[RequestId, DispatchedRequest] = {}
@@ -143,6 +146,7 @@
         deadline_at_us = arrived_after_us + client_request.timeout_us - margin_us
         request = DispatchedRequest(client_request, respond, has_client_disconnected, deadline_at_us)
         self._requests[request_id] = request
+        self._budget.reserve(request.memory_bytes)
         self._start_deadline_timer(request_id, request)
         self._dispatch_event(_request_arrived_event(request_id, client_request, deadline_at_us - now_us))
         return request_id
@@ -308,6 +312,7 @@
         if request_id in self._requests and request.is_finished:
             request.cancel_deadline_timer()
             del self._requests[request_id]
+            self._budget.release(request.memory_bytes)
 
     def _start_deadline_timer(self, request_id: RequestId, request: DispatchedRequest) -> None:
         request.set_deadline_timer(self._call_at(request.deadline_at_us, self._on_deadline, request_id))
--- a/http_gateway/service.py
+++ b/http_gateway/service.py
@@ -19,7 +19,9 @@
 from http_gateway.net.frontend.listener import Frontend
 from http_gateway.net.log_rate_limit import LogRateLimiter
 from http_gateway.net.loop_lag import LoopLagMonitor
-from http_gateway.net.process_memory import MemoryMonitor
+from http_gateway.net.memory.budget import MemoryBudget, MessageBudgets
+from http_gateway.net.memory.plan import MemoryPlan, plan_memory
+from http_gateway.net.memory.process_memory import MemoryMonitor, resident_bytes
 from http_gateway.net.request_dispatcher import RequestDispatcher
 from http_gateway.net.upstream.pool import UpstreamPool
 from http_gateway.policy.balancer import Balancer
@@ -27,8 +29,6 @@
 
 log = logging.getLogger(__name__)
 
-# File descriptors that are kept free for everything but client and endpoint connections.
-RESERVED_DESCRIPTORS = 32
 # Clients still open connections for this long after SIGTERM, so the gateway goes on accepting them.
 ACCEPT_AFTER_SIGTERM_S = 0.5
 # SIGKILL comes no earlier than 0.7 s and the longest timeout after SIGTERM. A longer timeout counts as this.
@@ -57,13 +57,17 @@
     """
 
     def __init__(self, config: GatewayConfig) -> None:
-        max_connections = max(1, (config.max_descriptors - RESERVED_DESCRIPTORS) // 2)
+        plan = plan_memory(config.memory_limit_bytes, resident_bytes(), config.max_descriptors)
+        budgets = _message_budgets(plan)
         self._config = config
         self._loop = asyncio.get_running_loop()
-        self._pool = UpstreamPool(config.connect_timeout_s, config.idle_timeout_s, max_connections)
-        self._dispatcher = RequestDispatcher(Balancer(config.settings, config.seed), self._pool)
+        self._pool = UpstreamPool(
+            config.connect_timeout_s, config.idle_timeout_s, plan.max_endpoint_connections
+        )
+        balancer = Balancer(config.settings, config.seed)
+        self._dispatcher = RequestDispatcher(balancer, self._pool, budgets.requests)
         self._dispatcher.update_endpoints(config.cached_list, is_cached=True)
-        self._frontend = Frontend(self._dispatcher, config.settings, max_connections)
+        self._frontend = Frontend(self._dispatcher, config.settings, plan.max_client_connections, budgets)
         self._discovery = DiscoveryClient(
             config.discovery_address,
             config.cached_list.revision,
@@ -180,6 +184,14 @@
             log.warning("connections still open at exit count=%d", len(self._frontend.connections))
 
 
+def _message_budgets(plan: MemoryPlan) -> MessageBudgets:
+    limit_bytes = plan.message_bytes()
+    return MessageBudgets(
+        MemoryBudget("requests", limit_bytes, plan.max_client_connections),
+        MemoryBudget("responses", limit_bytes, plan.max_endpoint_connections),
+    )
+
+
 async def serve(config: GatewayConfig, early_sighups: Sequence[int] = ()) -> None:
     """Run a gateway until SIGTERM or SIGINT.
 
--- a/tests/integration/test_connection_limits.py
+++ b/tests/integration/test_connection_limits.py
@@ -4,9 +4,6 @@
 
 import contextlib
 
-import pytest
-
-from http_gateway.net.frontend import connection_limits
 from tests.support.loopback import (
     LoopbackClient,
     async_test,
@@ -21,11 +18,10 @@
 
 
 @async_test
-async def test_buffered_bytes_are_limited_over_all_connections(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(connection_limits, "MAX_BUFFERED_BYTES", 100_000)
+async def test_buffered_bytes_are_limited_over_all_connections() -> None:
     async with (
         start_peers(respond_with()) as (endpoint,),
-        running_gateway(endpoint.endpoint_entry()) as gateway,
+        running_gateway(endpoint.endpoint_entry(), max_message_bytes=100_000) as gateway,
     ):
         clients = [await gateway.connect() for _ in range(2)]
         request = request_bytes("chapter-buy", {}, bytes(60_000))
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -17,6 +17,7 @@
 from http_gateway.net.http.messages import Message
 from http_gateway.net.http.reader import RequestReader, ResponseReader
 from http_gateway.net.http.writer import write_response
+from http_gateway.net.memory.budget import MemoryBudget, MessageBudgets
 from http_gateway.net.request_dispatcher import RequestDispatcher
 from http_gateway.net.upstream.pool import UpstreamPool
 from http_gateway.policy.balancer import Balancer
@@ -326,6 +327,14 @@
             client.close()
 
 
+def message_budgets(limit_bytes: int, max_connections: int) -> MessageBudgets:
+    """Return budgets of requests and responses with the same limit."""
+    return MessageBudgets(
+        MemoryBudget("requests", limit_bytes, max_connections),
+        MemoryBudget("responses", limit_bytes, max_connections),
+    )
+
+
 @asynccontextmanager
 async def running_gateway(
     *entries: EndpointEntry,
@@ -333,6 +342,7 @@
     idle_timeout_s: float = 60.0,
     max_connections: int = 100,
     connect_timeout_s: float = 1.0,
+    max_message_bytes: int = 4 * 1024 * 1024,
 ) -> AsyncIterator[RunningGateway]:
     """Run a gateway in the current event loop, on a free port.
 
@@ -342,16 +352,18 @@
         idle_timeout_s: The time after which an idle connection to an endpoint closes, in seconds.
         max_connections: The limit on upstream connections and, separately, on client connections.
         connect_timeout_s: The timeout for opening a connection to an endpoint, in seconds.
+        max_message_bytes: The memory for requests and, separately, for responses.
 
     Yields:
         The running gateway, which accepts no further connections after the context ends.
     """
+    budgets = message_budgets(max_message_bytes, max_connections)
     pool = UpstreamPool(connect_timeout_s, idle_timeout_s, max_connections)
     balancer = Balancer(settings, seed=1)
-    dispatcher = RequestDispatcher(balancer, pool)
+    dispatcher = RequestDispatcher(balancer, pool, budgets.requests)
     if entries:
         dispatcher.update_endpoints(EndpointList(1, True, entries))
-    frontend = Frontend(dispatcher, settings, max_connections)
+    frontend = Frontend(dispatcher, settings, max_connections, budgets)
     port = frontend.listen(frontend.bind("127.0.0.1", 0))
     try:
         yield RunningGateway(dispatcher, pool, frontend, balancer, port)
--- a/tests/unit/net/test_http_reader.py
+++ b/tests/unit/net/test_http_reader.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import gc
+
 import pytest
 
 from http_gateway.net.http.reader import (
+    FIELD_MEMORY_BYTES,
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
+    MAX_HEADER_FIELDS,
     RequestReader,
     ResponseReader,
 )
@@ -99,3 +103,46 @@
     reader = ResponseReader()
     reader.feed(received)
     assert reader.end_of_stream() is None
+
+
+def test_head_of_too_many_short_fields_is_rejected() -> None:
+    reader = RequestReader()
+    head = b"GET /a HTTP/1.1\r\n"
+    reader.feed(head + b"a:\r\n" * MAX_HEADER_FIELDS)
+    assert reader.error is None
+    reader.feed(b"a:\r\n" * 2)  # a field is complete when the next one begins
+    assert reader.error is not None
+    assert reader.error.status == 431
+
+
+def test_long_target_is_rejected_though_the_head_is_complete() -> None:
+    reader = RequestReader()
+    reader.feed(b"GET /" + b"a" * MAX_HEAD_BYTES + b" HTTP/1.1\r\n\r\n")
+    assert reader.error is not None
+    assert reader.error.status == 431
+
+
+def test_incomplete_message_counts_its_fields_and_its_bytes() -> None:
+    reader = RequestReader()
+    assert reader.partial_memory_bytes == 0
+    reader.feed(b"POST /a HTTP/1.1\r\n" + b"a:\r\n" * 50 + b"Content-Length: 1000\r\n\r\n" + bytes(900))
+    assert reader.partial_memory_bytes > 51 * FIELD_MEMORY_BYTES + 900
+    (message,) = reader.feed(bytes(100))
+    assert reader.partial_memory_bytes == 0
+    assert message.memory_bytes > 51 * FIELD_MEMORY_BYTES + 1000
+
+
+def test_complete_message_is_not_kept() -> None:
+    """Guards against idle connections that keep the last message, once as it was and once as its body."""
+    reader = RequestReader()
+    (message,) = reader.feed(b"POST /a HTTP/1.1\r\nContent-Length: 50000\r\n\r\n" + bytes(50_000))
+    assert vars(reader) not in gc.get_referrers(message)
+    kept_bytes = sum(len(value) for value in vars(reader).values() if isinstance(value, bytes | bytearray))
+    assert kept_bytes == 0
+
+
+def test_no_more_messages_are_parsed_at_once_than_may_be_queued() -> None:
+    reader = RequestReader()
+    messages = reader.feed(b"GET /a HTTP/1.1\r\n\r\n" * 3000)
+    assert len(messages) == RequestReader.MAX_MESSAGES_AT_ONCE + 1
+    assert reader.is_message_limit_reached
