Count responses that endpoints do not end and clients do not read

Seen by callers: hundreds of clients that wait for responses which never end, or leave theirs unread, take a process with 32 MB over its limit (36.9 and 67.5 MB), which ends everybody's requests.

Cause: each connection had its own limit (64 KiB body, 64 KiB of unsent bytes), and 496 times that is 60 MB; nothing counted the sum.

Change: connections to endpoints count their incomplete responses and the request bytes that the endpoint does not read; client connections pause at the first unsent byte and count what is unsent. The response that began first is evicted: its attempt ends as cancelled (not sent, if the request is not written), or the client's connection closes.

Loss: a client gets its next pipelined response only after the previous one has left the process.

--- a/http_gateway/net/frontend/client_connection.py
+++ b/http_gateway/net/frontend/client_connection.py
@@ -121,6 +121,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start its receive timeout, or abort it if there are too many."""
         assert isinstance(transport, asyncio.Transport)
+        # With this limit, each byte that the client does not read pauses writing.
+        transport.set_write_buffer_limits(high=0)
         self.transport = ClientTransport(transport)
         self._arrival_times.reading_started()
         if self._frontend.limits.admit(self):
@@ -148,6 +150,7 @@
     def pause_writing(self) -> None:
         """Handle no further requests until the client has read its responses."""
         self._is_writing_paused = True
+        self._frontend.budgets.responses.set_incomplete(self, self.unsent_bytes)
 
     def resume_writing(self) -> None:
         """Resume handling the queued requests.
@@ -156,6 +159,7 @@
         loss of a connection twice if it is closed in this callback.
         """
         self._is_writing_paused = False
+        self._frontend.budgets.responses.set_incomplete(self, 0)
         self._loop.call_soon(self._handle_queued_requests)
 
     def eof_received(self) -> None:
@@ -170,6 +174,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Abandon the request in flight and release the connection's buffers and timeout."""
         self._frontend.limits.remove(self)
+        self._frontend.budgets.responses.set_incomplete(self, 0)
         self._is_reading = False
         self._closes_after_response = True
         self.requests.close()
@@ -192,8 +197,14 @@
             self.drop(CloseReason.IDLE_TIMEOUT)
 
     def evict(self) -> None:
-        """Reject the request that is partly received, because it takes too much memory for too long."""
-        self._reject_over_limit()
+        """Give up what takes too much memory for too long.
+
+        That is a response that the client does not read, or else a request that is partly received.
+        """
+        if self._is_writing_paused:
+            self.drop(CloseReason.UNREAD_RESPONSE)
+        else:
+            self._reject_over_limit()
 
     def drop(self, reason: CloseReason) -> None:
         """Abort the connection without sending the responses that are still buffered.
@@ -203,7 +214,8 @@
         """
         log_closed(reason, self.unsent_bytes)
         self._frontend.limits.stop_timeout(self)
-        self._is_reading = False
+        self._frontend.budgets.responses.set_incomplete(self, 0)
+        self._stop_reading()
         self.transport.abort()
 
     def close_if_idle(self) -> None:
@@ -329,3 +341,4 @@
                 response.status, response.headers, response.body, self._closes_after_response
             )
             self.transport.write(data)
+            self._frontend.budgets.responses.enforce()  # may drop this connection
--- a/http_gateway/net/frontend/listener.py
+++ b/http_gateway/net/frontend/listener.py
@@ -61,6 +61,11 @@
         """Memory of all requests that are received, queued or in flight, in bytes."""
         return self._state.budgets.requests.held_bytes
 
+    @property
+    def unread_response_bytes(self) -> int:
+        """Memory of the responses that are received, or that clients have not read, in bytes."""
+        return self._state.budgets.responses.held_bytes
+
     @property
     def reserved_request_id_count(self) -> int:
         """Number of request ids that are reserved by requests in flight."""
--- a/http_gateway/net/upstream/connection.py
+++ b/http_gateway/net/upstream/connection.py
@@ -13,6 +13,7 @@
 from http_gateway.net.http.messages import Message
 from http_gateway.net.http.reader import ResponseReader
 from http_gateway.net.http.shared_buffer import SharedBufferProtocol
+from http_gateway.net.memory.budget import MessageBudgets
 from http_gateway.net.upstream.attempt import UpstreamAttempt
 from http_gateway.net.upstream.outcome import response_outcome
 from http_gateway.policy.endpoint import EndpointId
@@ -44,6 +45,10 @@
     def idle_timeout_s(self) -> float:
         """Seconds after which an idle connection is closed."""
 
+    @property
+    def budgets(self) -> MessageBudgets:
+        """The budgets of requests and responses."""
+
     def connection_opened(self) -> None:
         """Handle a newly opened connection."""
 
@@ -144,10 +149,21 @@
                 self._transport.get_extra_info("socket").shutdown(socket.SHUT_WR)
         self._attempt = None
         self._cancel_idle_timer()
+        self._release_memory()
         self._owner.remove_idle(self)
         if self._transport is not None:
             self._transport.abort()
 
+    def evict(self) -> None:
+        """End the attempt, because its response or its unread request takes too much memory for too long.
+
+        The endpoint is not at fault for that, so the attempt counts as cancelled and not as failed.
+        """
+        attempt, outcome = self._attempt, Outcome.CANCELLED if self._is_request_written else Outcome.NOT_SENT
+        self.drop()
+        if attempt is not None:
+            attempt.end(outcome)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the established connection."""
         assert isinstance(transport, asyncio.Transport)
@@ -160,8 +176,10 @@
 
     def pause_writing(self) -> None:
         """Mark the request as not fully written, because the kernel has not accepted all bytes."""
+        assert self._transport is not None
         self._is_write_blocked = True
         self._is_request_written = False
+        self._owner.budgets.requests.set_incomplete(self, self._transport.get_write_buffer_size())
 
     def resume_writing(self) -> None:
         """Complete the request, since the kernel has accepted all written bytes.
@@ -170,6 +188,7 @@
         reports the loss of a connection twice if it is aborted in this callback.
         """
         self._is_write_blocked = False
+        self._owner.budgets.requests.set_incomplete(self, 0)
         if self._deferred_byte:
             self._loop.call_soon(self._complete_request)
         else:
@@ -191,12 +210,16 @@
             )
             if not is_only_response:
                 self._log_unrequested_bytes(idle_s=0.0)
+            self._owner.budgets.responses.set_incomplete(self, 0)
             self._end_attempt(responses[0], self._is_request_written and is_only_response)
         elif self._reader.error is not None:
             log.warning(
                 'response malformed endpoint_id=%d reason="%s"', self._owner.endpoint_id, self._reader.error
             )
             self._fail()
+        else:
+            self._owner.budgets.responses.set_incomplete(self, self._reader.partial_memory_bytes)
+            self._owner.budgets.responses.enforce()  # may evict the response that this connection receives
 
     def eof_received(self) -> None:
         """End the attempt, with the response that the end of the connection completes, if there is one."""
@@ -282,6 +305,11 @@
             self._idle_timer = self._loop.call_later(self._owner.idle_timeout_s, self.drop)
         self._owner.add_idle(self)
 
+    def _release_memory(self) -> None:
+        self._reader.discard()
+        self._owner.budgets.requests.set_incomplete(self, 0)
+        self._owner.budgets.responses.set_incomplete(self, 0)
+
     def _cancel_idle_timer(self) -> None:
         if self._idle_timer is not None:
             self._idle_timer.cancel()
--- a/http_gateway/net/upstream/endpoint_connections.py
+++ b/http_gateway/net/upstream/endpoint_connections.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from http_gateway.net.discovery.endpoint_list import EndpointEntry
+from http_gateway.net.memory.budget import MessageBudgets
 from http_gateway.net.upstream.attempt import UpstreamAttempt
 from http_gateway.net.upstream.connection import UpstreamConnection
 from http_gateway.net.upstream.descriptor_count import DescriptorCount
@@ -27,14 +28,20 @@
         entry: The endpoint as the endpoint list describes it.
         timeouts: Timeouts of the connections.
         descriptors: Counts the connections to all endpoints.
+        budgets: The budgets of requests and responses.
     """
 
     def __init__(
-        self, entry: EndpointEntry, timeouts: ConnectionTimeouts, descriptors: DescriptorCount
+        self,
+        entry: EndpointEntry,
+        timeouts: ConnectionTimeouts,
+        descriptors: DescriptorCount,
+        budgets: MessageBudgets,
     ) -> None:
         self._entry = entry
         self._timeouts = timeouts
         self._descriptors = descriptors
+        self._budgets = budgets
         self._is_ready = True
         self._idle: list[UpstreamConnection] = []  # ordered by last use, the most recent last
         self._connecting: set[UpstreamAttempt] = set()
@@ -54,6 +61,11 @@
         """Seconds after which an idle connection is closed."""
         return self._timeouts.idle_s
 
+    @property
+    def budgets(self) -> MessageBudgets:
+        """The budgets of requests and responses."""
+        return self._budgets
+
     @property
     def idle(self) -> list[UpstreamConnection]:
         """The idle connections, ordered by last use, the most recent last."""
--- a/http_gateway/net/upstream/pool.py
+++ b/http_gateway/net/upstream/pool.py
@@ -8,6 +8,7 @@
 
 from http_gateway.net.discovery.endpoint_list import EndpointEntry
 from http_gateway.net.http.messages import Message
+from http_gateway.net.memory.budget import MessageBudgets
 from http_gateway.net.upstream.attempt import AttemptEndCallback, UpstreamAttempt
 from http_gateway.net.upstream.connection import UpstreamConnection
 from http_gateway.net.upstream.descriptor_count import DescriptorCount
@@ -28,12 +29,16 @@
         connect_timeout_s: Seconds within which a connection has to be established.
         idle_timeout_s: Seconds for which an endpoint keeps an idle connection open.
         max_connections: Maximum number of connections to all endpoints together.
+        budgets: The budgets of requests and responses.
     """
 
-    def __init__(self, connect_timeout_s: float, idle_timeout_s: float, max_connections: int) -> None:
+    def __init__(
+        self, connect_timeout_s: float, idle_timeout_s: float, max_connections: int, budgets: MessageBudgets
+    ) -> None:
         idle_s = max(idle_timeout_s / 2, idle_timeout_s - IDLE_TIMEOUT_MARGIN_S)
         self._timeouts = ConnectionTimeouts(connect_timeout_s, idle_s)
         self._descriptors = DescriptorCount(max_connections)
+        self._budgets = budgets
         self._endpoints: dict[EndpointId, EndpointConnections] = {}
 
     @property
@@ -78,7 +83,9 @@
             if known is not None and not known.is_valid_for(entry):
                 self._close(endpoint_id)
             if entry.endpoint.state is EndpointState.READY and endpoint_id not in self._endpoints:
-                self._endpoints[endpoint_id] = EndpointConnections(entry, self._timeouts, self._descriptors)
+                self._endpoints[endpoint_id] = EndpointConnections(
+                    entry, self._timeouts, self._descriptors, self._budgets
+                )
 
     def start_attempt(
         self,
--- a/http_gateway/service.py
+++ b/http_gateway/service.py
@@ -62,7 +62,7 @@
         self._config = config
         self._loop = asyncio.get_running_loop()
         self._pool = UpstreamPool(
-            config.connect_timeout_s, config.idle_timeout_s, plan.max_endpoint_connections
+            config.connect_timeout_s, config.idle_timeout_s, plan.max_endpoint_connections, budgets
         )
         balancer = Balancer(config.settings, config.seed)
         self._dispatcher = RequestDispatcher(balancer, self._pool, budgets.requests)
@@ -151,6 +151,7 @@
             f" endpoint_connections={self._pool.open_descriptors}"
             f" requests={self._dispatcher.in_flight_count}"
             f" request_buffer_bytes={self._frontend.buffered_bytes}"
+            f" response_buffer_bytes={self._frontend.unread_response_bytes}"
         )
 
     async def _shut_down(self) -> None:
--- a/tests/integration/test_connection_limits.py
+++ b/tests/integration/test_connection_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import socket
 
 from tests.support.loopback import (
     LoopbackClient,
@@ -15,6 +16,7 @@
     wait_until,
 )
 from tests.support.races import wait_for_partial_request
+from tests.support.upstream import SMALL_BUFFER_BYTES
 
 
 @async_test
@@ -100,3 +102,28 @@
         third = await gateway.connect()
         assert (await third.request()).status == 200
         assert await first.read_until_closed() == b""
+
+
+@async_test
+async def test_unread_responses_of_many_clients_add_up() -> None:
+    """Guards against clients that leave their responses unread, each of them less than its own limit."""
+    limit_bytes = 150_000
+    async with (
+        start_peers(respond_with(body=bytes(60_000))) as (endpoint,),
+        running_gateway(endpoint.endpoint_entry(), max_message_bytes=limit_bytes) as gateway,
+    ):
+        clients = [await gateway.connect() for _ in range(8)]
+        await wait_until(lambda: len(gateway.frontend.connections) == len(clients))
+        for connection in gateway.frontend.connections:
+            connected_socket = connection.transport.asyncio_transport.get_extra_info("socket")
+            connected_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+        for client in clients:
+            client.pause_reading()
+            client.writer.write(b"".join(request_bytes() for _ in range(4)))
+        # Two responses of 60,000 bytes fit under the limit.
+        await wait_until(lambda: len(gateway.frontend.connections) == 2)
+        assert 0 < gateway.frontend.unread_response_bytes <= limit_bytes
+        assert (await gateway.request()).status == 200
+        for client in clients:
+            client.close()
+        await wait_until(lambda: gateway.frontend.unread_response_bytes == 0)
--- a/tests/integration/test_memory_limit.py
+++ b/tests/integration/test_memory_limit.py
@@ -23,6 +23,7 @@
 BYTES_PER_MB = 1_000_000
 LIMITS = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": MAX_DESCRIPTORS}
 ENDPOINT_COUNT = 13
+MANY_ENDPOINTS = 60  # each gets some eight attempts at once at first
 CROWD_SIZE = 400
 SOUND_CLIENTS = 40
 SOUND_INTERVAL_S = 0.4
@@ -32,7 +33,7 @@
 
 @asynccontextmanager
 async def running_limited_service(
-    folder: Path, script: PeerScript
+    folder: Path, script: PeerScript, endpoint_count: int = ENDPOINT_COUNT
 ) -> AsyncIterator[tuple[int, asyncio.subprocess.Process]]:
     """Run endpoints and a gateway with the least memory; yields its port and its process."""
 
@@ -40,7 +41,7 @@
         entries = [endpoint.list_entry() for endpoint in endpoints]
         writer.write(WATCH_HEAD + chunk(list_document(42, *entries)))
 
-    async with start_peers(*[script] * ENDPOINT_COUNT, send_list) as peers:
+    async with start_peers(*[script] * endpoint_count, send_list) as peers:
         endpoints: list[LoopbackPeer] = peers[:-1]
         document = config_document(peers[-1].port, limits=LIMITS)
         async with running_service(folder, document, MAX_DESCRIPTORS) as process:
@@ -51,6 +52,7 @@
     "short fields": (crowd.send_short_fields, respond_with()),
     "half a body": (crowd.stop_half_way, respond_with()),
     "slow bodies": (crowd.write_slowly, respond_with()),
+    "unread responses": (crowd.leave_responses_unread, respond_with(body=bytes(60_000))),
 }
 
 
@@ -73,6 +75,35 @@
         assert sound.served_share >= MIN_SERVED_SHARE
 
 
+SPOILT_RESPONSES: dict[str, bytes] = {
+    "short fields": b"HTTP/1.1 200 OK\r\n" + b"ab: c\r\n" * 2000,
+    "half a body": b"HTTP/1.1 200 OK\r\nContent-Length: 64000\r\n\r\n" + bytes(60_000),
+    "small chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\na\r\n" * 10_000,
+}
+
+
+@pytest.mark.parametrize("name", SPOILT_RESPONSES)
+@async_test
+async def test_process_over_its_memory_limit_under_spoilt_responses(tmp_path: Path, name: str) -> None:
+    """Guards against responses that do not end, while hundreds of clients wait for them."""
+    is_spoilt = True
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(SPOILT_RESPONSES[name] if is_spoilt else b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    async with running_limited_service(tmp_path, script, MANY_ENDPOINTS) as (port, process):
+        async with crowd.crowd(port, CROWD_SIZE, crowd.wait_for_response):
+            await asyncio.sleep(DURATION_S)
+        is_spoilt = False
+        sound = SoundClients(port)
+        await sound.run(SOUND_CLIENTS, DURATION_S, SOUND_INTERVAL_S)
+        peak = peak_resident_bytes(process.pid)
+        print(f"{name}: peak {peak / BYTES_PER_MB:.1f} MB, sound clients: {dict(sound.statuses)}")
+        assert process.returncode is None
+        assert peak < MEMORY_MB * BYTES_PER_MB
+        assert sound.statuses[200] > 0
+
+
 @async_test
 async def test_process_maps_openssl_that_it_does_not_use(tmp_path: Path) -> None:
     """Guards against 5 MB of libraries that an import brings along."""
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -17,6 +17,7 @@
 
 RECONNECT_DELAY_S = 0.02
 PIECE_INTERVAL_S = 0.05
+REQUEST_INTERVAL_S = 1.0  # valid requests compete with those of the sound clients for a core
 CLOSE_TIMEOUT_S = 5.0
 SOUND_TIMEOUT_S = 5.0
 SHORT_FIELD = b"a:\r\n"
@@ -57,7 +58,13 @@
     transport.pause_reading()
     while not transport.is_closing():
         writer.write(request_bytes())
-        await asyncio.sleep(PIECE_INTERVAL_S)
+        await asyncio.sleep(REQUEST_INTERVAL_S)
+
+
+async def wait_for_response(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Send a small request and wait for the end of the connection, or for long."""
+    writer.write(request_bytes("chapter-buy"))
+    await reader.read()
 
 
 async def send_large_requests(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -91,6 +98,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.sleep(0)  # the aborted transports close
 
 
 async def _repeat(port: int, script: ClientScript) -> None:
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -34,6 +34,7 @@
 READ_CHUNK_BYTES = 65536
 POLL_INTERVAL_S = 0.005
 MAX_UNREAD_REQUESTS = 1000
+DEFAULT_MESSAGE_BYTES = 4 * 1024 * 1024
 
 # Each request gets its own id, because a gateway rejects a request whose id belongs to an open request.
 _REQUEST_NUMBERS = itertools.count()
@@ -342,7 +343,7 @@
     idle_timeout_s: float = 60.0,
     max_connections: int = 100,
     connect_timeout_s: float = 1.0,
-    max_message_bytes: int = 4 * 1024 * 1024,
+    max_message_bytes: int = DEFAULT_MESSAGE_BYTES,
 ) -> AsyncIterator[RunningGateway]:
     """Run a gateway in the current event loop, on a free port.
 
@@ -358,7 +359,7 @@
         The running gateway, which accepts no further connections after the context ends.
     """
     budgets = message_budgets(max_message_bytes, max_connections)
-    pool = UpstreamPool(connect_timeout_s, idle_timeout_s, max_connections)
+    pool = UpstreamPool(connect_timeout_s, idle_timeout_s, max_connections, budgets)
     balancer = Balancer(settings, seed=1)
     dispatcher = RequestDispatcher(balancer, pool, budgets.requests)
     if entries:
--- a/tests/support/upstream.py
+++ b/tests/support/upstream.py
@@ -17,7 +17,7 @@
 from http_gateway.net.upstream.pool import UpstreamPool
 from http_gateway.policy.endpoint import Endpoint, EndpointId, EndpointState
 from http_gateway.policy.events import Outcome, RequestId
-from tests.support.loopback import LoopbackPeer, wait_until
+from tests.support.loopback import DEFAULT_MESSAGE_BYTES, LoopbackPeer, message_budgets, wait_until
 
 ENDPOINT_ID = endpoint_id("s-0")
 ATTEMPT_TIMEOUT_S = 30.0
@@ -57,7 +57,8 @@
         max_connections: int = 10,
         connect_timeout_s: float = 1.0,
     ) -> None:
-        self.pool = UpstreamPool(connect_timeout_s, idle_timeout_s, max_connections)
+        budgets = message_budgets(DEFAULT_MESSAGE_BYTES, max_connections)
+        self.pool = UpstreamPool(connect_timeout_s, idle_timeout_s, max_connections, budgets)
         self.ends: list[AttemptEnd] = []
         self.is_client_waiting = True
         self._port = port
