Read clients in small pieces once an iteration has spent long on parsing

Seen by callers: while 400 clients sent bodies in chunks of one byte, 107 of 125 sound requests were served, the slowest after 2.7 s, and the event loop was late 14 times in 4 s.

Cause: a read of 64 KB in such chunks takes 2.8 ms to parse, a plain body of that size 0.09 ms. The bound was the size of a read, not its cost, so one iteration of the event loop could take a second for 400 clients.

Change: net/frontend/read_quota.py counts the parsing time of an iteration; after 20 ms the reads that are left have 1,024 bytes until the next one. Requests of usual size fit into that.

Also new: crowds and single clients that send the smallest requests, valid ones under ever new names, health checks and unknown classes at full speed.

Loss: while unsound clients keep the process busy, large bodies arrive in more reads.

--- a/http_gateway/net/frontend/client_connection.py
+++ b/http_gateway/net/frontend/client_connection.py
@@ -14,6 +14,7 @@
 from http_gateway.net.frontend.connection_limits import ConnectionLimits
 from http_gateway.net.frontend.connection_log import CloseReason, log_closed, log_rejected
 from http_gateway.net.frontend.in_flight_request import InFlightRequest, RequestIdRegistry
+from http_gateway.net.frontend.read_quota import ReadQuota
 from http_gateway.net.frontend.request_parsing import InvalidRequestError, RequestParser
 from http_gateway.net.frontend.request_queue import ReceivedRequest, RequestQueue
 from http_gateway.net.frontend.shutdown_state import ShutdownState
@@ -39,6 +40,7 @@
     budgets: MessageBudgets
     request_id_registry: RequestIdRegistry
     shutdown: ShutdownState
+    read_quota: ReadQuota
 
     @property
     def is_ready(self) -> bool:
@@ -70,6 +72,7 @@
         self._arrival_times = ArrivalTimes(poll_times, connected_after_s)
         self._loop = asyncio.get_running_loop()
         self._is_reading = True
+        self._read_bytes = 0  # size of the current read at most
         self._is_over_limit = False
         self._is_writing_paused = False
         self._closes_after_response = False
@@ -130,12 +133,20 @@
         else:
             self.drop(CloseReason.CONNECTION_LIMIT)
 
+    def next_read_bytes(self) -> int:
+        """Return how many bytes the next read may have; bytes that are only discarded are read at once."""
+        quota = self._frontend.read_quota
+        self._read_bytes = quota.next_read_bytes() if self._is_reading else RECEIVE_BUFFER_BYTES
+        return self._read_bytes
+
     def on_data(self, data: memoryview) -> None:
         """Parse received bytes and handle the requests that they complete."""
-        arrived_after_s = self._arrival_times.on_read(is_buffer_full=len(data) == RECEIVE_BUFFER_BYTES)
+        arrived_after_s = self._arrival_times.on_read(is_buffer_full=len(data) == self._read_bytes)
         if not self._is_reading:
             return
+        self._frontend.read_quota.parsing_started()
         self.requests.feed(data, arrived_after_s)
+        self._frontend.read_quota.parsing_ended()
         self._frontend.budgets.requests.enforce()  # may evict the request that this connection receives
         if not self._is_reading:
             return
--- a/http_gateway/net/frontend/listener.py
+++ b/http_gateway/net/frontend/listener.py
@@ -11,8 +11,10 @@
 from http_gateway.net.frontend.client_connection import ClientConnection, FrontendState
 from http_gateway.net.frontend.connection_limits import ConnectionLimits
 from http_gateway.net.frontend.in_flight_request import RequestIdRegistry
+from http_gateway.net.frontend.read_quota import ReadQuota
 from http_gateway.net.frontend.request_parsing import RequestParser
 from http_gateway.net.frontend.shutdown_state import ShutdownState
+from http_gateway.net.http.shared_buffer import RECEIVE_BUFFER_BYTES
 from http_gateway.net.memory.budget import MessageBudgets
 from http_gateway.net.request_dispatcher import RequestDispatcher
 from http_gateway.policy.settings import Settings
@@ -38,6 +40,8 @@
         max_connections: int,
         budgets: MessageBudgets,
     ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._poll_times = running_poll_times()
         shutdown = ShutdownState()
         self._state = FrontendState(
             dispatcher,
@@ -46,9 +50,8 @@
             budgets,
             RequestIdRegistry(),
             shutdown,
+            ReadQuota(self._poll_times, RECEIVE_BUFFER_BYTES),
         )
-        self._loop = asyncio.get_running_loop()
-        self._poll_times = running_poll_times()
         self._acceptor: Acceptor | None = None
 
     @property
--- a/http_gateway/net/http/shared_buffer.py
+++ b/http_gateway/net/http/shared_buffer.py
@@ -14,8 +14,12 @@
     """Protocol base class whose received bytes are valid only during the call of `on_data`."""
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        """Return the shared buffer for the next read."""
-        return _BUFFER
+        """Return the part of the shared buffer that the next read may fill."""
+        return _BUFFER[: self.next_read_bytes()]
+
+    def next_read_bytes(self) -> int:
+        """Return how many bytes the next read may have."""
+        return RECEIVE_BUFFER_BYTES
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass the bytes that were read to `on_data`."""
--- a/tests/integration/test_memory_limit.py
+++ b/tests/integration/test_memory_limit.py
@@ -29,6 +29,7 @@
 SOUND_INTERVAL_S = 0.4
 DURATION_S = 4.0
 MIN_SERVED_SHARE = 0.9
+LATENCY_OBJECTIVE_S = 0.4  # of the request classes in the settings
 
 
 @asynccontextmanager
@@ -53,6 +54,8 @@
     "half a body": (crowd.stop_half_way, respond_with()),
     "slow bodies": (crowd.write_slowly, respond_with()),
     "unread responses": (crowd.leave_responses_unread, respond_with(body=bytes(60_000))),
+    "single-byte chunks": (crowd.send_single_byte_chunks, respond_with()),
+    "tiny requests": (crowd.send_tiny_requests, respond_with()),
 }
 
 
@@ -75,6 +78,30 @@
         assert sound.served_share >= MIN_SERVED_SHARE
 
 
+FULL_SPEED_SCRIPTS: dict[str, ClientScript] = {
+    "valid requests": crowd.send_valid_requests,
+    "health checks": crowd.send_up_checks,
+    "unknown classes": crowd.send_unknown_classes,
+    "tiny requests": crowd.send_tiny_requests,
+    "single-byte chunks": crowd.send_single_byte_chunks,
+}
+
+
+@pytest.mark.parametrize("name", FULL_SPEED_SCRIPTS)
+@async_test
+async def test_client_at_full_speed_delays_other_clients(tmp_path: Path, name: str) -> None:
+    """Guards against one client that sends small or unsound requests, also under ever new names."""
+    async with running_limited_service(tmp_path, respond_with()) as (port, process):
+        sound = SoundClients(port)
+        async with crowd.crowd(port, 1, FULL_SPEED_SCRIPTS[name]):
+            await sound.run(SOUND_CLIENTS, DURATION_S, SOUND_INTERVAL_S)
+        peak = peak_resident_bytes(process.pid)
+        print(f"{name}: peak {peak / BYTES_PER_MB:.1f} MB, worst latency {sound.worst_latency_s:.3f} s")
+        assert peak < MEMORY_MB * BYTES_PER_MB
+        assert sound.served_share >= MIN_SERVED_SHARE
+        assert sound.worst_latency_s < LATENCY_OBJECTIVE_S
+
+
 SPOILT_RESPONSES: dict[str, bytes] = {
     "short fields": b"HTTP/1.1 200 OK\r\n" + b"ab: c\r\n" * 2000,
     "half a body": b"HTTP/1.1 200 OK\r\nContent-Length: 64000\r\n\r\n" + bytes(60_000),
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 import time
 from collections import Counter
@@ -13,7 +14,7 @@
 from http import HTTPStatus
 
 from http_gateway.net.http.messages import Message
-from tests.support.loopback import LoopbackClient, request_bytes
+from tests.support.loopback import READ_CHUNK_BYTES, LoopbackClient, request_bytes
 
 RECONNECT_DELAY_S = 0.02
 PIECE_INTERVAL_S = 0.05
@@ -25,6 +26,7 @@
 SHORT_FIELDS_HEAD = b"GET /page-read HTTP/1.1\r\n" + SHORT_FIELD * 4000
 LARGE_BODY_BYTES = 64_000
 SMALL_RECEIVE_BUFFER_BYTES = 4096
+_NAMES = itertools.count()
 
 # What one client of a crowd does on one connection.
 ClientScript = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -88,6 +90,33 @@
         await asyncio.sleep(0)
 
 
+async def send_valid_requests(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Send small requests under ever new names, one as soon as the one before is answered."""
+    while True:
+        name = str(next(_NAMES))
+        headers = {"X-Tenant": f"t{name}", "X-Key": f"k{name}", "X-Deadline": "9.9"}
+        writer.write(request_bytes(headers=headers))
+        if not await reader.read(READ_CHUNK_BYTES):
+            return
+
+
+async def send_up_checks(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Send health checks, one as soon as the one before is answered."""
+    while True:
+        writer.write(b"GET /up HTTP/1.1\r\n\r\n")
+        if not await reader.read(READ_CHUNK_BYTES):
+            return
+
+
+async def send_unknown_classes(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Send requests of classes that do not exist, under ever new names."""
+    while True:
+        name = next(_NAMES)
+        writer.write(b"GET /class%d HTTP/1.1\r\nX-Request-Id: %d\r\n\r\n" % (name, name))
+        if not await reader.read(READ_CHUNK_BYTES):
+            return
+
+
 @asynccontextmanager
 async def crowd(port: int, count: int, script: ClientScript) -> AsyncIterator[None]:
     """Run clients that repeat a script, each on a new connection, until the end of the context."""
