Cancel a request's policy timers once it is finished

Seen: after 100 answered requests two timers of theirs were left; they stay for as long as a slow attempt is allowed to take, so their number follows the rate of requests and that time, not the requests in flight, which are counted.

Cause: the timer of a slow attempt is set for each attempt and nothing cancels it.

Change: SetTimer names the request that it belongs to, and the dispatcher cancels its timers when it releases the request. The policy ignores such a timer anyway, so no decision changes.

Measured: none left (test_timers_of_answered_requests_stay fails before).

--- a/http_gateway/net/dispatched_request.py
+++ b/http_gateway/net/dispatched_request.py
@@ -62,6 +62,7 @@
         self._respond: ResponseCallback | None = respond
         self._has_client_disconnected = has_client_disconnected
         self._deadline_timer: asyncio.TimerHandle | None = None
+        self._timers: list[asyncio.TimerHandle] = []
 
     @property
     def needs_response(self) -> bool:
@@ -81,10 +82,16 @@
         """Store the timer that fires at the deadline of the request."""
         self._deadline_timer = timer
 
-    def cancel_deadline_timer(self) -> None:
-        """Cancel the deadline timer, if one is set."""
+    def add_timer(self, timer: asyncio.TimerHandle) -> None:
+        """Store a timer that has no effect once the request is finished."""
+        self._timers.append(timer)
+
+    def cancel_timers(self) -> None:
+        """Cancel all timers of the request."""
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
+        for timer in self._timers:
+            timer.cancel()
 
     def respond(self, response: Response) -> None:
         """Send the final response; further calls have no effect."""
--- a/http_gateway/net/request_dispatcher.py
+++ b/http_gateway/net/request_dispatcher.py
@@ -215,13 +215,20 @@
                 self._respond(request_id, _shed_response(retry_after_us))
             case FailRequest(request_id):
                 self._respond(request_id, Response(HTTPStatus.BAD_GATEWAY))
-            case SetTimer(delay_us, token):
-                self._call_at(decided_at_us + delay_us, self._dispatch_event, TimerFired(token))
+            case SetTimer():
+                self._set_timer(action, decided_at_us)
             case _:
                 # WatchEndpointList needs no action because the gateway always watches the endpoint list.
                 # CheckHealth is ignored because the gateway sends no health checks.
                 pass
 
+    def _set_timer(self, action: SetTimer, decided_at_us: int) -> None:
+        due_at_us = decided_at_us + action.delay_us
+        timer = self._call_at(due_at_us, self._dispatch_event, TimerFired(action.token))
+        request = self._requests.get(action.request_id) if action.request_id is not None else None
+        if request is not None:
+            request.add_timer(timer)
+
     def _start_attempt(self, action: StartAttempt) -> None:
         request = self._requests[action.request_id]
         now_us = self._clock.now_us()
@@ -310,7 +317,7 @@
             return
         request.cancel_unwritten_attempts()
         if request_id in self._requests and request.is_finished:
-            request.cancel_deadline_timer()
+            request.cancel_timers()
             del self._requests[request_id]
             self._budget.release(request.memory_bytes)
 
--- a/http_gateway/policy/actions.py
+++ b/http_gateway/policy/actions.py
@@ -49,10 +49,14 @@
 
 
 class SetTimer(NamedTuple):
-    """Send a `TimerFired` event with this token to the policy after a delay."""
+    """Send a `TimerFired` event with this token to the policy after a delay.
+
+    A timer that belongs to a request has no effect once the request is answered and its attempts have ended.
+    """
 
     delay_us: int
     token: str
+    request_id: RequestId | None = None
 
 
 class WatchEndpointList(NamedTuple):
--- a/http_gateway/policy/balancer.py
+++ b/http_gateway/policy/balancer.py
@@ -174,7 +174,7 @@
         tracked.concurrency.start_attempt()
         return [
             StartAttempt(request_id, tracked.endpoint.id, last_byte_before_us=last_byte_before_us),
-            SetTimer(self._outliers.slow_attempt_timeout_us(pending), f"{request_id}:{number}"),
+            SetTimer(self._outliers.slow_attempt_timeout_us(pending), f"{request_id}:{number}", request_id),
         ]
 
     def _shed_or_fail(self, pending: PendingRequest, now_us: int) -> list[Action]:
--- a/tests/integration/test_request_dispatcher.py
+++ b/tests/integration/test_request_dispatcher.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import itertools
 import socket
@@ -238,6 +239,25 @@
             assert len(started.requests) < 10
 
 
+@async_test
+async def test_timers_of_answered_requests_stay() -> None:
+    """Guards against memory that grows with the rate of requests, not with those in flight."""
+    async with (
+        start_peers(respond_with()) as (endpoint,),
+        running_gateway(endpoint.endpoint_entry()) as gateway,
+    ):
+        client = await gateway.connect()
+        for _ in range(100):
+            assert (await client.request()).status == 200
+        assert not [timer for timer in scheduled_timers() if "TimerFired" in repr(timer)]
+
+
+def scheduled_timers() -> list[asyncio.TimerHandle]:
+    """Return the timers of the running event loop that are not cancelled."""
+    timers: list[asyncio.TimerHandle] = vars(asyncio.get_running_loop())["_scheduled"]
+    return [timer for timer in timers if not timer.cancelled()]
+
+
 @async_test
 async def test_request_of_a_disconnected_client_is_abandoned() -> None:
     async with (
