Take a process at the address of one that has gone for the new one only

Seen: a keyed request whose first attempt was reset ran a second time, at a process of another deduplication group. Discovery had listed that process at the address of an endpoint that was gone, but still listed (pushed lists name an endpoint that falls silent for 6.8 to 13 s).

Cause: policy and connection pool know endpoints by id. Two ready ids at one address were two endpoints for them, and each attempt at the old id reached the new process with the group, the zone and the warm state of the old one.

Change: net/discovery/endpoint_directory.py lets the endpoint that started last have its address, and removes the other one until it is listed again without that address.

Loss: if discovery lists two sound endpoints at one address by mistake, only one is used. A process that is not listed yet cannot be told from the old one.

--- /dev/null
+++ b/http_gateway/net/discovery/endpoint_directory.py
@@ -0,0 +1,80 @@
+"""The endpoints that discovery lists now, with at most one ready endpoint at each address."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import replace
+
+from http_gateway.net.address import Address
+from http_gateway.net.discovery.endpoint_list import EndpointEntry, EndpointList
+from http_gateway.policy.endpoint import EndpointId, EndpointState
+
+log = logging.getLogger(__name__)
+
+
+class EndpointDirectory:
+    """Makes each endpoint list unambiguous before the policy and the connection pool use it.
+
+    A process may come up at the address of one that has gone, under an id of its own, while the list still
+    has the old id. Requests for the old id would reach the new process, which may be warming up and may
+    belong to another deduplication group. So the endpoint that started last has the address, and the other
+    one is removed until it is listed again without it.
+    """
+
+    def __init__(self) -> None:
+        self._entries: dict[EndpointId, EndpointEntry] = {}
+        self._owners: dict[Address, EndpointId] = {}  # the ready endpoint at each address
+
+    def __len__(self) -> int:
+        """Return the number of listed endpoints."""
+        return len(self._entries)
+
+    def resolve(self, endpoint_list: EndpointList, is_complete: bool) -> EndpointList:
+        """Apply a list, and return it without ambiguous endpoints.
+
+        Args:
+            endpoint_list: A list, or the changes since the last one.
+            is_complete: Whether endpoints that are not listed are removed.
+
+        Returns:
+            The list. An endpoint that has lost its address is removed.
+        """
+        if is_complete:
+            self._entries.clear()
+            self._owners.clear()
+        resolved: dict[EndpointId, EndpointEntry] = {}
+        for entry in endpoint_list.entries:
+            endpoint_id = entry.endpoint.id
+            self._forget(endpoint_id)
+            resolved[endpoint_id] = self._apply(entry, resolved)
+        return replace(endpoint_list, entries=tuple(resolved.values()))
+
+    def _forget(self, endpoint_id: EndpointId) -> None:
+        known = self._entries.pop(endpoint_id, None)
+        if known is not None and self._owners.get(known.address) == endpoint_id:
+            del self._owners[known.address]
+
+    def _apply(self, entry: EndpointEntry, resolved: dict[EndpointId, EndpointEntry]) -> EndpointEntry:
+        """Add an entry, and return it as it counts: as removed if it has lost its address."""
+        if entry.endpoint.state is EndpointState.REMOVED:
+            return entry
+        if entry.endpoint.state is EndpointState.READY:
+            owner = self._entries.get(self._owners.get(entry.address, entry.endpoint.id))
+            if owner is not None and owner.endpoint.started_at_us > entry.endpoint.started_at_us:
+                return _removed(entry, owner)
+            if owner is not None:
+                self._forget(owner.endpoint.id)
+                resolved[owner.endpoint.id] = _removed(owner, entry)
+            self._owners[entry.address] = entry.endpoint.id
+        self._entries[entry.endpoint.id] = entry
+        return entry
+
+
+def _removed(entry: EndpointEntry, owner: EndpointEntry) -> EndpointEntry:
+    log.warning(
+        "endpoint removed, as a newer one has its address endpoint_id=%d newer_endpoint_id=%d address=%s:%d",
+        entry.endpoint.id,
+        owner.endpoint.id,
+        *entry.address,
+    )
+    return replace(entry, endpoint=replace(entry.endpoint, state=EndpointState.REMOVED))
--- a/http_gateway/net/request_dispatcher.py
+++ b/http_gateway/net/request_dispatcher.py
@@ -17,6 +17,7 @@
 
 from http_gateway.net.client_request import ClientRequest, Response, ResponseCallback
 from http_gateway.net.clock import Clock
+from http_gateway.net.discovery.endpoint_directory import EndpointDirectory
 from http_gateway.net.discovery.endpoint_list import EndpointList
 from http_gateway.net.dispatched_request import DispatchedRequest, time_out
 from http_gateway.net.http.messages import Message
@@ -74,6 +75,7 @@
         self._balancer = balancer
         self._pool = pool
         self._budget = budget
+        self._directory = EndpointDirectory()
         self._clock = Clock()
         self._loop = asyncio.get_running_loop()
         self._requests: dict[RequestId, DispatchedRequest] = {}
@@ -113,6 +115,7 @@
             is_cached: Whether the list was read from the cache; the pool treats it as complete.
         """
         self._has_endpoint_list = self._has_endpoint_list or bool(endpoint_list.entries)
+        endpoint_list = self._directory.resolve(endpoint_list, is_cached or endpoint_list.is_complete)
         endpoints = tuple(entry.endpoint for entry in endpoint_list.entries)
         self._dispatch_event(EndpointListUpdate(_update_kind(endpoint_list, is_cached), endpoints))
         self._pool.update_endpoints(endpoint_list.entries, endpoint_list.is_complete or is_cached)
--- a/tests/integration/test_upstream_endpoints.py
+++ b/tests/integration/test_upstream_endpoints.py
@@ -3,14 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import time
+from dataclasses import replace
 
 from http_gateway.net.discovery.endpoint_list import endpoint_id
 from http_gateway.net.http.messages import Message
 from http_gateway.policy.events import Outcome
+from http_gateway.policy.settings import DeduplicationScope, Idempotency, RequestClass
+from http_gateway.policy.time_units import US_PER_MS
 from tests.support.loopback import (
+    READ,
+    SETTINGS,
+    LoopbackPeer,
     async_test,
+    endpoint_list,
     never_respond,
+    request_bytes,
     respond_with,
+    running_gateway,
     start_peers,
     wait_until,
 )
@@ -106,3 +116,37 @@
         assert driver.start(UNSAFE_REQUEST, last_byte_deadline_s) is None
         await asyncio.sleep(0.1)
         assert not driver.ends
+
+
+@async_test
+async def test_request_runs_twice_at_a_new_process_that_has_an_old_address() -> None:
+    """Guards against a retry at another deduplication group, whose process has the address of the old one."""
+    keyed = RequestClass(
+        "chapter-buy",
+        400 * US_PER_MS,
+        5_000 * US_PER_MS,
+        Idempotency.IDEMPOTENCY_KEY,
+        deduplication_scope=DeduplicationScope.GROUP,
+        deduplication_window_us=4_000 * US_PER_MS,
+    )
+    settings = replace(SETTINGS, classes=(READ, keyed))
+    async with (
+        start_peers(never_respond, never_respond) as peers,
+        running_gateway(
+            *(peer.endpoint_entry(deduplication_group=1) for peer in peers), settings=settings
+        ) as gateway,
+    ):
+        client = await gateway.connect()
+        client.writer.write(request_bytes("chapter-buy", {"Idempotency-Key": "5c0f"}))
+        await wait_until(lambda: peers[0].requests or peers[1].requests)
+        tried, old = peers if peers[0].requests else reversed(peers)
+        new = LoopbackPeer(respond_with(), "s-new", port=old.port)
+        old.stop()
+        await new.start()
+        started_at_us = time.time_ns() // 1000
+        entry = new.endpoint_entry(deduplication_group=2, started_at_us=started_at_us)
+        gateway.dispatcher.update_endpoints(endpoint_list(entry, complete=False))
+        tried.stop()
+        assert (await client.response()).status == 502
+        assert not new.requests
+        new.stop()
