Forward nothing for a client that may have closed behind unread bytes, and no id twice

Seen: a client wrote five requests of 240 KB together and closed at once while the process was held up for 0.15 s. The first request was sent on to an endpoint after that; so was a retry when the bytes and the close came during an attempt. A request that is not safe ran twice when its id came again after its client had left, or after its response.

Cause: the check for a close asks the socket for POLLRDHUP, and the system learns of the close only when it has room for the bytes before it. Ids of requests were released as soon as the client left, though the endpoint may run them.

Change: a request is handled only once its connection has no unread bytes; further attempts are not started while there are some, and the request is rejected with 400.

Loss: a client that pipelines gets a 400 if its next bytes arrive just as an attempt is written. The protocol has one request at a time on a connection.

--- a/http_gateway/net/frontend/client_connection.py
+++ b/http_gateway/net/frontend/client_connection.py
@@ -28,6 +28,7 @@
 
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _OVER_LIMIT = "too many requests or bytes are waiting"
+_UNREAD_BYTES = "unread bytes follow a request that is about to be forwarded"
 _NO_MEMORY = "the requests in flight take too much memory"
 
 
@@ -238,6 +239,8 @@
 
     def _handle_queued_requests(self) -> None:
         while self.requests and not self.in_flight.is_active and not self._is_writing_paused:
+            if self.transport.may_hide_disconnect:  # the unread bytes are read in the next iteration
+                return
             request = self.requests.pop()
             message = request.message
             self.in_flight.begin()
@@ -265,6 +268,14 @@
         self.in_flight.submit(client_request, self._respond, self._has_client_disconnected)
 
     def _has_client_disconnected(self) -> bool:
+        """Return whether the client has left, or may have left behind bytes that are unread.
+
+        Clients send one request at a time, so bytes that follow a request in flight are not sound. The
+        request is rejected then, since nothing tells whether its client still waits.
+        """
+        if self.transport.may_hide_disconnect:
+            self._reject(HTTPStatus.BAD_REQUEST, _UNREAD_BYTES)
+            return True
         return self.transport.has_disconnected
 
     def _handle_partial_request(self) -> None:
--- a/http_gateway/net/frontend/client_transport.py
+++ b/http_gateway/net/frontend/client_transport.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import select
-import socket
 
 # POLLRDHUP reports that the peer has closed its sending side. On systems without it, POLLHUP reports only
 # connections that are closed in both directions.
@@ -38,6 +38,17 @@
         """Whether the client has closed its side of the connection, even if bytes are still unread."""
         return self._poll(_DISCONNECT_EVENT)
 
+    @property
+    def may_hide_disconnect(self) -> bool:
+        """Whether the socket holds unread bytes behind which the client may have closed its side.
+
+        The operating system learns of the close only when it has room for the bytes before it.
+        """
+        events = self._poll_events(select.POLLIN | _DISCONNECT_EVENT)
+        return bool(events & select.POLLIN) and not events & (
+            _DISCONNECT_EVENT | select.POLLERR | select.POLLHUP
+        )
+
     @property
     def unsent_bytes(self) -> int:
         """Number of written bytes that the operating system has not accepted for sending yet."""
@@ -49,7 +60,8 @@
 
     def write_eof(self) -> None:
         """Close the sending side of the connection after all written bytes are sent."""
-        self.asyncio_transport.write_eof()
+        with contextlib.suppress(OSError):  # the client has reset the connection, which asyncio reports
+            self.asyncio_transport.write_eof()
 
     def close(self) -> None:
         """Close the connection after all written bytes are sent."""
@@ -60,14 +72,12 @@
         self.asyncio_transport.abort()
 
     def _poll(self, events: int) -> bool:
-        if self.is_closing:
-            return False
-        return _has_event(self.asyncio_transport.get_extra_info("socket"), events)
-
+        return bool(self._poll_events(events) & (events | select.POLLERR | select.POLLHUP))
 
-def _has_event(sock: socket.socket, events: int) -> bool:
-    poll = select.poll()
-    poll.register(sock, events)
-    return any(
-        reported_events & (events | select.POLLERR | select.POLLHUP) for _, reported_events in poll.poll(0)
-    )
+    def _poll_events(self, events: int) -> int:
+        """Return the events that the operating system reports for the socket; none if it is closing."""
+        if self.is_closing:
+            return 0
+        poll = select.poll()
+        poll.register(self.asyncio_transport.get_extra_info("socket"), events)
+        return sum(reported_events for _, reported_events in poll.poll(0))
--- a/http_gateway/net/frontend/in_flight_request.py
+++ b/http_gateway/net/frontend/in_flight_request.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
+from http_gateway.net.attempted_ids import AttemptedRequestIds
 from http_gateway.net.client_request import ClientRequest, Response
 from http_gateway.net.frontend.request_parsing import InvalidRequestError
 from http_gateway.net.request_dispatcher import RequestDispatcher
@@ -12,9 +13,14 @@
 
 
 class RequestIdRegistry:
-    """The ids (X-Request-Id values) of the requests in flight on all client connections."""
+    """The ids (X-Request-Id values) of the requests in flight on all client connections.
 
-    def __init__(self) -> None:
+    Args:
+        attempted_ids: The ids of requests that endpoints may have executed, in flight or not.
+    """
+
+    def __init__(self, attempted_ids: AttemptedRequestIds) -> None:
+        self._attempted_ids = attempted_ids
         self._ids: set[str] = set()
 
     def __len__(self) -> int:
@@ -31,8 +37,12 @@
             client_request_id: The X-Request-Id value that the client has sent.
 
         Raises:
-            InvalidRequestError: A request in flight has the same id.
+            InvalidRequestError: A request in flight has the same id, or one that may have been executed.
         """
+        if client_request_id in self._attempted_ids:
+            raise InvalidRequestError(
+                HTTPStatus.BAD_REQUEST, "a request with the same X-Request-Id may have been executed"
+            )
         if client_request_id in self._ids:
             raise InvalidRequestError(
                 HTTPStatus.BAD_REQUEST, "a request with the same X-Request-Id is in flight"
--- a/http_gateway/net/frontend/listener.py
+++ b/http_gateway/net/frontend/listener.py
@@ -48,7 +48,7 @@
             RequestParser(settings.classes, shutdown.time_left_s),
             ConnectionLimits[ClientConnection](max_connections),
             budgets,
-            RequestIdRegistry(),
+            RequestIdRegistry(dispatcher.attempted_ids),
             shutdown,
             ReadQuota(self._poll_times, RECEIVE_BUFFER_BYTES),
         )
--- a/http_gateway/net/http/messages.py
+++ b/http_gateway/net/http/messages.py
@@ -43,6 +43,11 @@
     keep_alive: bool = True
     memory_bytes: int = field(default=0, compare=False, repr=False)
 
+    @property
+    def has_safe_method(self) -> bool:
+        """Whether the method is safe (RFC 9110, section 9.2.1), so that the request may be executed twice."""
+        return self.method == b"GET"
+
     def header(self, name: bytes) -> str | None:
         """Return the value of the first header with this name; None if there is none.
 
--- a/http_gateway/net/memory/plan.py
+++ b/http_gateway/net/memory/plan.py
@@ -15,6 +15,7 @@
 ENDPOINT_CONNECTION_BYTES = 4608
 # Memory of one endpoint of the list: its entry, its circuit breakers and its statistics.
 ENDPOINT_BYTES = 4 * KIB
+REQUEST_ID_BYTES = 128  # memory of the id of a request that may have been executed
 # Memory of one request in flight beside its message: its state in policy and dispatcher, attempts and timers.
 REQUEST_STATE_BYTES = 6 * KIB
 # Memory that a document of discovery takes while it is decoded, as a multiple of its bytes.
@@ -31,10 +32,13 @@
 DEFAULT_RESIDENT_BYTES = 24_000_000
 # Shares of the memory that is left for peers.
 CONNECTIONS_FRACTION = 0.6
+REQUEST_IDS_FRACTION = 0.05
 DOCUMENT_FRACTION = 0.14
 # File descriptors that are kept free for everything but client and endpoint connections.
 RESERVED_DESCRIPTORS = 32
 MAX_DOCUMENT_BYTES = 4 * KIB * KIB  # a list of a few thousand endpoints is smaller
+MAX_REQUEST_IDS = 65_536  # some minutes of requests at usual rates
+MIN_REQUEST_IDS = 1024
 MIN_DOCUMENT_BYTES = 192 * KIB  # a list of a thousand endpoints is smaller
 
 
@@ -48,6 +52,7 @@
         max_client_connections: Connections that clients may have open.
         max_endpoint_connections: Connections to endpoints that may be open or opening.
         max_document_bytes: The largest document that discovery may send.
+        max_request_ids: Ids of requests that may have been executed, which are remembered.
     """
 
     limit_bytes: int
@@ -55,6 +60,7 @@
     max_client_connections: int
     max_endpoint_connections: int
     max_document_bytes: int
+    max_request_ids: int
 
     @property
     def connection_bytes(self) -> int:
@@ -74,6 +80,7 @@
             added_endpoints: Endpoints in the list beyond those at the start, whose memory is resident then.
         """
         fixed_bytes = self.resident_bytes + WORKING_SET_BYTES + self.connection_bytes + self.document_bytes
+        fixed_bytes += self.max_request_ids * REQUEST_ID_BYTES
         free_bytes = self.limit_bytes - fixed_bytes - added_endpoints * ENDPOINT_BYTES
         usable_bytes = int(free_bytes * (1 - FRAGMENTATION_FRACTION))
         return max(MIN_MESSAGE_BYTES, usable_bytes // 2)
@@ -95,11 +102,13 @@
     pair_bytes = CLIENT_CONNECTION_BYTES + ENDPOINT_CONNECTION_BYTES
     affordable = max(MIN_CONNECTIONS, int(peer_bytes * CONNECTIONS_FRACTION) // pair_bytes)
     connections = max(1, min((max_descriptors - RESERVED_DESCRIPTORS) // 2, affordable))
+    request_ids = int(peer_bytes * REQUEST_IDS_FRACTION) // REQUEST_ID_BYTES
     document_bytes = int(peer_bytes * DOCUMENT_FRACTION) // DOCUMENT_COST_FACTOR
     return MemoryPlan(
         limit_bytes,
         resident_bytes,
         max_client_connections=connections,
         max_endpoint_connections=connections,
+        max_request_ids=max(MIN_REQUEST_IDS, min(MAX_REQUEST_IDS, request_ids)),
         max_document_bytes=max(MIN_DOCUMENT_BYTES, min(MAX_DOCUMENT_BYTES, document_bytes)),
     )
--- a/http_gateway/net/request_dispatcher.py
+++ b/http_gateway/net/request_dispatcher.py
@@ -15,6 +15,7 @@
 from http import HTTPStatus
 from typing import TypeVarTuple
 
+from http_gateway.net.attempted_ids import AttemptedRequestIds
 from http_gateway.net.client_request import ClientRequest, Response, ResponseCallback
 from http_gateway.net.clock import Clock
 from http_gateway.net.discovery.endpoint_directory import EndpointDirectory
@@ -69,9 +70,21 @@
         balancer: The policy.
         pool: Opens connections to endpoints and sends the attempts on them.
         budget: Counts the memory of the requests in flight.
+        attempted_ids: Where the ids of requests that endpoints may execute are remembered.
+
+    Attributes:
+        attempted_ids: The ids of the latest requests that endpoints may have executed. Those with a safe
+            method are missing, as they may be executed again.
     """
 
-    def __init__(self, balancer: Balancer, pool: UpstreamPool, budget: MemoryBudget) -> None:
+    def __init__(
+        self,
+        balancer: Balancer,
+        pool: UpstreamPool,
+        budget: MemoryBudget,
+        attempted_ids: AttemptedRequestIds,
+    ) -> None:
+        self.attempted_ids = attempted_ids
         self._balancer = balancer
         self._pool = pool
         self._budget = budget
@@ -241,6 +254,7 @@
         expires_at_us = min(action.expires_at_us or request.deadline_at_us, request.deadline_at_us)
         upstream_attempt = None
         if request.needs_response and expires_at_us > now_us:
+            self._remember_id(request)
             upstream_attempt = self._start_upstream_attempt(action, request, number, expires_at_us)
         if upstream_attempt is None:
             self._on_attempt_end(action.request_id, number, Outcome.NOT_SENT, None)
@@ -249,6 +263,10 @@
             if expires_at_us < request.deadline_at_us:
                 self._call_at(expires_at_us, time_out, upstream_attempt)
 
+    def _remember_id(self, request: DispatchedRequest) -> None:
+        if not request.client_request.message.has_safe_method:
+            self.attempted_ids.add(request.client_request.id)
+
     def _start_upstream_attempt(
         self, action: StartAttempt, request: DispatchedRequest, number: int, expires_at_us: int
     ) -> UpstreamAttempt | None:
--- a/http_gateway/net/upstream/attempt.py
+++ b/http_gateway/net/upstream/attempt.py
@@ -68,7 +68,7 @@
     @property
     def has_safe_method(self) -> bool:
         """Whether the method is safe (RFC 9110, section 9.2.1), so that the request may be executed twice."""
-        return self._request.method == b"GET"
+        return self._request.has_safe_method
 
     @property
     def connection(self) -> AttemptConnection | None:
--- a/http_gateway/service.py
+++ b/http_gateway/service.py
@@ -12,6 +12,7 @@
 import sys
 from collections.abc import Sequence
 
+from http_gateway.net.attempted_ids import AttemptedRequestIds
 from http_gateway.net.config import ConfigError, GatewayConfig, load_config
 from http_gateway.net.config_reload import ConfigReloader
 from http_gateway.net.discovery.client import DiscoveryClient
@@ -65,7 +66,9 @@
             config.connect_timeout_s, config.idle_timeout_s, plan.max_endpoint_connections, budgets
         )
         balancer = Balancer(config.settings, config.seed)
-        self._dispatcher = RequestDispatcher(balancer, self._pool, budgets.requests)
+        self._dispatcher = RequestDispatcher(
+            balancer, self._pool, budgets.requests, AttemptedRequestIds(plan.max_request_ids)
+        )
         self._dispatcher.update_endpoints(config.cached_list, is_cached=True)
         self._frontend = Frontend(self._dispatcher, config.settings, plan.max_client_connections, budgets)
         self._discovery = DiscoveryClient(
--- a/tests/integration/test_request_parsing.py
+++ b/tests/integration/test_request_parsing.py
@@ -42,7 +42,28 @@
         first.close()
         await wait_until(lambda: not gateway.frontend.reserved_request_id_count)
         endpoint.script = respond_with()
+        # The endpoint may have executed the request, so the disconnect does not make its id available again.
         statuses = {(await gateway.request("chapter-buy", same_id)).status for _ in range(20)}
+        assert statuses == {400}
+        assert len(endpoint.requests) == 1
+
+
+@async_test
+async def test_id_of_a_safe_request_in_flight_is_rejected_until_it_is_released() -> None:
+    async with (
+        start_peers(never_respond) as (endpoint,),
+        running_gateway(endpoint.endpoint_entry()) as gateway,
+    ):
+        same_id = {"X-Request-Id": "77"}
+        first, second = await gateway.connect(), await gateway.connect()
+        first.writer.write(request_bytes(headers=same_id))
+        await wait_until(lambda: endpoint.requests)
+        assert (await second.request(headers=same_id)).status == 400
+        assert len(endpoint.requests) == 1
+        first.close()
+        await wait_until(lambda: not gateway.frontend.reserved_request_id_count)
+        endpoint.script = respond_with()
+        statuses = {(await gateway.request(headers=same_id)).status for _ in range(20)}
         assert 200 in statuses  # the id is released by the disconnect and by each response
         assert 400 not in statuses
 
