Bound what discovery and signals make the gateway hold by limits.memory_mb

Seen: with a limit of 32 MB, a list of 20,000 endpoints, or changes that name 8,500 new ones, took the process to 77.0 MB. With SIGHUP every millisecond and a configuration file of 10 MB it took 49.6 MB and answered no client.

Cause: the limits on documents (4 MiB) and files (16 MiB) and the number of endpoints did not depend on the memory of the process, and each signal read the file again, however many were waiting.

Change: the memory plan sets the largest document and the number of endpoints (1,024 at least), and endpoints that are added take their memory from the messages. Zones, machine types and addresses have 256 characters at most. A reload reads at most a document's size, or twice the size of the file at the start, ten times a second; signals in between share one reload. A log entry has at most 8,000 characters, as discovery could put its whole list into one.

Loss: with 32 MB a list of over 198,000 bytes (some 1,100 endpoints) is rejected; it needs a higher limit.

--- a/http_gateway/net/config.py
+++ b/http_gateway/net/config.py
@@ -4,7 +4,7 @@
 
 import resource
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import Any
 
@@ -48,6 +48,7 @@
     idle_timeout_s: float  # endpoints close idle connections after this time or earlier
     max_descriptors: int  # file descriptors that the process may open
     memory_limit_bytes: int  # resident memory over which the process is killed
+    file_bytes: int = field(compare=False)  # size of the configuration file
 
 
 def load_config(environment: Mapping[str, str]) -> GatewayConfig:
@@ -62,10 +63,10 @@
     Raises:
         ConfigError: The configuration cannot be read or is invalid.
     """
-    return _load(environment, _STARTUP_VARIABLES)
+    return _load(environment, _STARTUP_VARIABLES, MAX_FILE_BYTES)
 
 
-def reload_config(environment: Mapping[str, str]) -> GatewayConfig:
+def reload_config(environment: Mapping[str, str], max_file_bytes: int) -> GatewayConfig:
     """Read the configuration again in a running gateway.
 
     The discovery address comes from the file even if PROXY_DISCOVERY is set, as the file is newer than the
@@ -73,6 +74,7 @@
 
     Args:
         environment: The environment variables.
+        max_file_bytes: The largest file that is read.
 
     Returns:
         The configuration.
@@ -80,26 +82,25 @@
     Raises:
         ConfigError: The configuration cannot be read or is invalid.
     """
-    return _load(environment, _RELOAD_VARIABLES)
+    return _load(environment, _RELOAD_VARIABLES, max_file_bytes)
 
 
-def _load(environment: Mapping[str, str], variables: Mapping[str, str]) -> GatewayConfig:
+def _load(environment: Mapping[str, str], variables: Mapping[str, str], max_file_bytes: int) -> GatewayConfig:
     path = environment.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG is not set or is empty")
-    document = _read_document(path)
+    content = _read_file(path, max_file_bytes)
+    document = _decode_document(content)
     overrides = {field: environment[name] for field, name in variables.items() if environment.get(name)}
     try:
-        return _read_config(JsonFields({**document, **overrides}))
+        return _read_config(JsonFields({**document, **overrides}), len(content))
     except (FieldError, InvalidSettingsError) as error:
         raise ConfigError(f"invalid configuration: {error}") from None
 
 
-def _read_document(path: str) -> dict[str, Any]:
+def _decode_document(content: bytes) -> dict[str, Any]:
     try:
-        document = orjson.loads(_read_file(path))
-    except OSError as error:
-        raise ConfigError(f"cannot read the file named by PROXY_CONFIG: {error.strerror}") from None
+        document = orjson.loads(content)
     except orjson.JSONDecodeError as error:
         raise ConfigError(f"the file named by PROXY_CONFIG is not valid JSON: {error}") from None
     if not isinstance(document, dict):
@@ -107,15 +108,18 @@
     return document
 
 
-def _read_file(path: str) -> bytes:
-    with open(path, "rb") as file:
-        content = file.read(MAX_FILE_BYTES + 1)
-    if len(content) > MAX_FILE_BYTES:
-        raise ConfigError(f"the file named by PROXY_CONFIG exceeds {MAX_FILE_BYTES} bytes")
+def _read_file(path: str, max_file_bytes: int) -> bytes:
+    try:
+        with open(path, "rb") as file:
+            content = file.read(max_file_bytes + 1)
+    except OSError as error:
+        raise ConfigError(f"cannot read the file named by PROXY_CONFIG: {error.strerror}") from None
+    if len(content) > max_file_bytes:
+        raise ConfigError(f"the file named by PROXY_CONFIG exceeds {max_file_bytes} bytes")
     return content
 
 
-def _read_config(fields: JsonFields) -> GatewayConfig:
+def _read_config(fields: JsonFields, file_bytes: int) -> GatewayConfig:
     settings = read_settings(fields.value("settings"))
     permissions = fields.child("settings").child("permissions")
     idle_timeout_us = permissions.integer("connIdle", DEFAULT_IDLE_TIMEOUT_US)
@@ -133,6 +137,7 @@
         idle_timeout_s=idle_timeout_us / US_PER_S,
         max_descriptors=_limit_descriptors(max_descriptors),
         memory_limit_bytes=memory_mb * BYTES_PER_MB,
+        file_bytes=file_bytes,
     )
 
 
--- a/http_gateway/net/config_reload.py
+++ b/http_gateway/net/config_reload.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
+import math
 from collections.abc import Mapping
 from dataclasses import replace
 
@@ -11,29 +13,57 @@
 
 log = logging.getLogger(__name__)
 
+# Time between two reloads. Signals may come faster than the file can be read.
+MIN_RELOAD_INTERVAL_S = 0.1
+# A file may grow to this multiple of its size at the start, or to the size of a list from discovery.
+MAX_FILE_GROWTH = 2
+
 
 class ConfigReloader:
     """Applies a changed discovery address from the configuration file.
 
-    All other changes need a restart. A file that cannot be read or is invalid changes nothing.
+    All other changes need a restart. A file that cannot be read or is invalid changes nothing. The reloader
+    owns the timer of a reload that was requested soon after another one.
 
     Args:
         config: The current configuration.
         discovery: The discovery client, which is switched to the new address.
         environment: The environment variables, which name the file.
+        max_document_bytes: The largest list that discovery may send, which the file may contain.
     """
 
     def __init__(
-        self, config: GatewayConfig, discovery: DiscoveryClient, environment: Mapping[str, str]
+        self,
+        config: GatewayConfig,
+        discovery: DiscoveryClient,
+        environment: Mapping[str, str],
+        max_document_bytes: int,
     ) -> None:
+        self._max_file_bytes = max(max_document_bytes, MAX_FILE_GROWTH * config.file_bytes)
+        self._loop = asyncio.get_running_loop()
+        self._timer: asyncio.TimerHandle | None = None
+        self._reloaded_at_s = -math.inf
         self._config = config
         self._discovery = discovery
         self._environment = environment
 
-    def reload(self) -> None:
+    def request_reload(self) -> None:
+        """Reload soon; requests that come before that are answered by the same reload."""
+        if self._timer is None:
+            due_at_s = max(self._loop.time(), self._reloaded_at_s + MIN_RELOAD_INTERVAL_S)
+            self._timer = self._loop.call_at(due_at_s, self._reload)
+
+    def stop(self) -> None:
+        """Cancel a reload that is due."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _reload(self) -> None:
         """Read the file again, and switch to another discovery service if the address has changed."""
+        self._timer = None
+        self._reloaded_at_s = self._loop.time()
         try:
-            loaded = reload_config(self._environment)
+            loaded = reload_config(self._environment, self._max_file_bytes)
         except ConfigError as error:
             log.error('reload failed reason="%s"', error)
             return
--- a/http_gateway/net/discovery/client.py
+++ b/http_gateway/net/discovery/client.py
@@ -21,6 +21,7 @@
         revision: The revision of the current endpoint list, from which the first watch resumes.
         on_list: Callback for each list that the service sends.
         settings: The settings of the gateway, with the kind of discovery and the index of this gateway.
+        max_document_bytes: The largest list that is accepted.
 
     Attributes:
         service_responded: Set once the service has sent a list or rejected a call. After a rejection,
@@ -33,7 +34,9 @@
         revision: int,
         on_list: Callable[[EndpointList], None],
         settings: Settings,
+        max_document_bytes: int,
     ) -> None:
+        self._max_document_bytes = max_document_bytes
         self._on_list = on_list
         self._settings = settings
         self._random = Random()
@@ -67,4 +70,6 @@
 
     def _new_session(self, address: Address, revision: int) -> DiscoverySession:
         schedule = PollSchedule(self._settings, self._random)
-        return DiscoverySession(address, revision, schedule, self._on_list, self.service_responded)
+        return DiscoverySession(
+            address, revision, schedule, self._on_list, self.service_responded, self._max_document_bytes
+        )
--- a/http_gateway/net/discovery/endpoint_directory.py
+++ b/http_gateway/net/discovery/endpoint_directory.py
@@ -19,9 +19,13 @@
     has the old id. Requests for the old id would reach the new process, which may be warming up and may
     belong to another deduplication group. So the endpoint that started last has the address, and the other
     one is removed until it is listed again without it.
+
+    Args:
+        max_endpoints: Endpoints that are kept; further ones are ignored.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_endpoints: int) -> None:
+        self._max_endpoints = max_endpoints
         self._entries: dict[EndpointId, EndpointEntry] = {}
         self._owners: dict[Address, EndpointId] = {}  # the ready endpoint at each address
 
@@ -30,7 +34,7 @@
         return len(self._entries)
 
     def resolve(self, endpoint_list: EndpointList, is_complete: bool) -> EndpointList:
-        """Apply a list, and return it without ambiguous endpoints.
+        """Apply a list, and return it without ambiguous and surplus endpoints.
 
         Args:
             endpoint_list: A list, or the changes since the last one.
@@ -43,12 +47,22 @@
             self._entries.clear()
             self._owners.clear()
         resolved: dict[EndpointId, EndpointEntry] = {}
+        ignored_count = 0
         for entry in endpoint_list.entries:
             endpoint_id = entry.endpoint.id
+            if endpoint_id not in self._entries and self._is_full(entry):
+                ignored_count += 1
+                continue
             self._forget(endpoint_id)
             resolved[endpoint_id] = self._apply(entry, resolved)
+        if ignored_count:
+            log.warning("endpoints ignored count=%d max_endpoints=%d", ignored_count, self._max_endpoints)
         return replace(endpoint_list, entries=tuple(resolved.values()))
 
+    def _is_full(self, entry: EndpointEntry) -> bool:
+        is_listed = entry.endpoint.state is not EndpointState.REMOVED
+        return is_listed and len(self._entries) >= self._max_endpoints
+
     def _forget(self, endpoint_id: EndpointId) -> None:
         known = self._entries.pop(endpoint_id, None)
         if known is not None and self._owners.get(known.address) == endpoint_id:
--- a/http_gateway/net/discovery/endpoint_list.py
+++ b/http_gateway/net/discovery/endpoint_list.py
@@ -11,6 +11,8 @@
 from http_gateway.policy.endpoint import Endpoint, EndpointId, EndpointState
 from http_gateway.policy.time_units import US_PER_MS
 
+MAX_NAME_LENGTH = 256  # of a zone, a machine type or an address
+
 _STATES_BY_PHASE = {
     "Ready": EndpointState.READY,
     "Terminating": EndpointState.DRAINING,
@@ -74,17 +76,24 @@
     return EndpointList(revision, bool(document.get("complete")), entries)
 
 
+def _read_name(entry: Mapping[str, Any], field: str) -> str:
+    name = str(entry.get(field) or "")
+    if len(name) > MAX_NAME_LENGTH:
+        raise ValueError(f"{field} has over {MAX_NAME_LENGTH} characters")
+    return name
+
+
 def _read_entry(entry: Mapping[str, Any], index: int) -> EndpointEntry:
     try:
         endpoint = Endpoint(
             id=endpoint_id(str(entry["id"])),
             state=_STATES_BY_PHASE.get(str(entry.get("phase")), EndpointState.DRAINING),
-            zone=str(entry.get("locality") or ""),
-            machine_type=str(entry.get("flavor") or ""),
+            zone=_read_name(entry, "locality"),
+            machine_type=_read_name(entry, "flavor"),
             deduplication_group=None if entry.get("cell") is None else int(entry["cell"]),
             weight=float(entry.get("size") or 1.0),
             started_at_us=int(entry.get("up_since_ms") or 0) * US_PER_MS,
         )
-        return EndpointEntry(endpoint, parse_address(str(entry["host_port"])))
+        return EndpointEntry(endpoint, parse_address(_read_name(entry, "host_port")))
     except (ValueError, TypeError, KeyError, AttributeError, OverflowError) as error:
         raise EndpointListError(f"members[{index}]: {type(error).__name__}: {error}") from error
--- a/http_gateway/net/discovery/json_stream.py
+++ b/http_gateway/net/discovery/json_stream.py
@@ -4,8 +4,6 @@
 
 import re
 
-MAX_DOCUMENT_BYTES = 4 * 1024 * 1024  # a list of a few thousand endpoints is smaller
-
 # A complete JSON string is one token, so that brackets inside it are not counted. A quotation mark that is a
 # token by itself starts a string that is still incomplete.
 _TOKEN = re.compile(rb'"(?:[^"\\]++|\\.)*+"|[{}\[\]"]', re.DOTALL)
@@ -16,9 +14,14 @@
 
 
 class JsonStreamSplitter:
-    """Finds the ends of JSON documents in a stream by matching their brackets."""
+    """Finds the ends of JSON documents in a stream by matching their brackets.
+
+    Args:
+        max_document_bytes: The largest document that is accepted.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, max_document_bytes: int) -> None:
+        self._max_document_bytes = max_document_bytes
         self._buffer = b""
         self._scan_offset = 0  # bytes at the start of the buffer that have been searched for tokens
         self._depth = 0  # number of unclosed brackets
@@ -68,5 +71,5 @@
                 raise JsonStreamError("the stream contains data other than JSON objects and arrays")
             self._buffer = b""
             self._scan_offset = 0
-        if len(self._buffer) > MAX_DOCUMENT_BYTES:
-            raise JsonStreamError(f"a JSON document exceeds {MAX_DOCUMENT_BYTES} bytes")
+        if len(self._buffer) > self._max_document_bytes:
+            raise JsonStreamError(f"a JSON document exceeds {self._max_document_bytes} bytes")
--- a/http_gateway/net/discovery/session.py
+++ b/http_gateway/net/discovery/session.py
@@ -33,6 +33,7 @@
         schedule: The timing of the calls.
         on_list: Callback for each list; an exception that it raises ends the watch.
         service_responded: Event to set once the service has sent a list or rejected a call.
+        max_document_bytes: The largest list that is accepted.
     """
 
     def __init__(
@@ -42,7 +43,9 @@
         schedule: PollSchedule,
         on_list: Callable[[EndpointList], None],
         service_responded: asyncio.Event,
+        max_document_bytes: int,
     ) -> None:
+        self._max_document_bytes = max_document_bytes
         self._address = address
         self._revision = revision
         self._schedule = schedule
@@ -154,13 +157,14 @@
             if self._active_watch is not watch:
                 watch.end("another watch is active")
 
+    def _new_watch(self) -> DiscoveryWatch:
+        return DiscoveryWatch(self._address, self._revision, self, self._max_document_bytes)
+
     async def _connect(self) -> DiscoveryWatch | None:
         host, port = self._address
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, watch = await asyncio.get_running_loop().create_connection(
-                    lambda: DiscoveryWatch(self._address, self._revision, self), host, port
-                )
+                _, watch = await asyncio.get_running_loop().create_connection(self._new_watch, host, port)
         except (OSError, TimeoutError) as error:
             log.info(
                 'discovery connect failed address=%s:%d reason="%s"', host, port, str(error) or "timeout"
--- a/http_gateway/net/discovery/watch.py
+++ b/http_gateway/net/discovery/watch.py
@@ -55,16 +55,19 @@
         address: The address of the service.
         revision: The revision to resume from; 0 requests a complete list.
         listener: The receiver of documents and rejections.
+        max_document_bytes: The largest document that is accepted.
 
     Attributes:
         accepted: Resolves to whether the service has accepted the call; False if the watch ended before that.
         ended: Resolves to the reason for the end, once the watch has ended.
     """
 
-    def __init__(self, address: Address, revision: int, listener: WatchListener) -> None:
+    def __init__(
+        self, address: Address, revision: int, listener: WatchListener, max_document_bytes: int
+    ) -> None:
         self._request = _watch_request(address, revision)
         self._listener = listener
-        self._documents = JsonStreamSplitter()
+        self._documents = JsonStreamSplitter(max_document_bytes)
         self._parser = httptools.HttpResponseParser(self)
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
--- a/http_gateway/net/log_rate_limit.py
+++ b/http_gateway/net/log_rate_limit.py
@@ -1,10 +1,22 @@
-"""Rate limit for log lines, because clients and endpoints can trigger some of them at any rate."""
+"""Limits on the rate and the length of log lines, because peers can trigger some of them with any content."""
 
 from __future__ import annotations
 
 import logging
 
 MIN_INTERVAL_S = 1.0
+MAX_ENTRY_CHARACTERS = 8000  # of a line with its traceback
+
+
+class BoundedFormatter(logging.Formatter):
+    """Cuts log entries off at a length; the names that peers choose can be very long."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the text of an entry, cut off at `MAX_ENTRY_CHARACTERS`."""
+        text = super().format(record)
+        if len(text) <= MAX_ENTRY_CHARACTERS:
+            return text
+        return f"{text[:MAX_ENTRY_CHARACTERS]}... cut_characters={len(text) - MAX_ENTRY_CHARACTERS}"
 
 
 class LogRateLimiter(logging.Filter):
--- a/http_gateway/net/memory/plan.py
+++ b/http_gateway/net/memory/plan.py
@@ -14,7 +14,7 @@
 CLIENT_CONNECTION_BYTES = 4608
 ENDPOINT_CONNECTION_BYTES = 4608
 # Memory of one endpoint of the list: its entry, its circuit breakers and its statistics.
-ENDPOINT_BYTES = 4 * KIB
+ENDPOINT_BYTES = 3 * KIB
 REQUEST_ID_BYTES = 128  # memory of the id of a request that may have been executed
 # Memory of one request in flight beside its message: its state in policy and dispatcher, attempts and timers.
 REQUEST_STATE_BYTES = 6 * KIB
@@ -36,6 +36,7 @@
 DOCUMENT_FRACTION = 0.14
 # File descriptors that are kept free for everything but client and endpoint connections.
 RESERVED_DESCRIPTORS = 32
+MIN_ENDPOINTS = 1024  # which any gateway has to take
 MAX_DOCUMENT_BYTES = 4 * KIB * KIB  # a list of a few thousand endpoints is smaller
 MAX_REQUEST_IDS = 65_536  # some minutes of requests at usual rates
 MIN_REQUEST_IDS = 1024
@@ -79,12 +80,27 @@
         Args:
             added_endpoints: Endpoints in the list beyond those at the start, whose memory is resident then.
         """
-        fixed_bytes = self.resident_bytes + WORKING_SET_BYTES + self.connection_bytes + self.document_bytes
-        fixed_bytes += self.max_request_ids * REQUEST_ID_BYTES
-        free_bytes = self.limit_bytes - fixed_bytes - added_endpoints * ENDPOINT_BYTES
-        usable_bytes = int(free_bytes * (1 - FRAGMENTATION_FRACTION))
+        usable_bytes = int(
+            (self._free_bytes - added_endpoints * ENDPOINT_BYTES) * (1 - FRAGMENTATION_FRACTION)
+        )
         return max(MIN_MESSAGE_BYTES, usable_bytes // 2)
 
+    def max_endpoints(self, endpoints_at_start: int) -> int:
+        """Return how many endpoints the list may have, so that the least memory is left for messages.
+
+        Args:
+            endpoints_at_start: Endpoints in the list at the start, whose memory is resident then.
+        """
+        least_bytes = int(2 * MIN_MESSAGE_BYTES / (1 - FRAGMENTATION_FRACTION))
+        added_endpoints = max(0, self._free_bytes - least_bytes) // ENDPOINT_BYTES
+        return max(MIN_ENDPOINTS, endpoints_at_start + added_endpoints)
+
+    @property
+    def _free_bytes(self) -> int:
+        """Memory that is left for messages and further endpoints."""
+        fixed_bytes = self.resident_bytes + WORKING_SET_BYTES + self.connection_bytes + self.document_bytes
+        return self.limit_bytes - fixed_bytes - self.max_request_ids * REQUEST_ID_BYTES
+
 
 def plan_memory(limit_bytes: int, resident_bytes: int, max_descriptors: int) -> MemoryPlan:
     """Divide the memory limit.
--- a/http_gateway/net/request_dispatcher.py
+++ b/http_gateway/net/request_dispatcher.py
@@ -71,6 +71,7 @@
         pool: Opens connections to endpoints and sends the attempts on them.
         budget: Counts the memory of the requests in flight.
         attempted_ids: Where the ids of requests that endpoints may execute are remembered.
+        directory: The listed endpoints.
 
     Attributes:
         attempted_ids: The ids of the latest requests that endpoints may have executed. Those with a safe
@@ -83,12 +84,13 @@
         pool: UpstreamPool,
         budget: MemoryBudget,
         attempted_ids: AttemptedRequestIds,
+        directory: EndpointDirectory,
     ) -> None:
         self.attempted_ids = attempted_ids
         self._balancer = balancer
         self._pool = pool
         self._budget = budget
-        self._directory = EndpointDirectory()
+        self._directory = directory
         self._clock = Clock()
         self._loop = asyncio.get_running_loop()
         self._requests: dict[RequestId, DispatchedRequest] = {}
--- a/http_gateway/service.py
+++ b/http_gateway/service.py
@@ -16,9 +16,11 @@
 from http_gateway.net.config import ConfigError, GatewayConfig, load_config
 from http_gateway.net.config_reload import ConfigReloader
 from http_gateway.net.discovery.client import DiscoveryClient
+from http_gateway.net.discovery.endpoint_directory import EndpointDirectory
+from http_gateway.net.discovery.endpoint_list import EndpointList
 from http_gateway.net.event_loop import GatewayEventLoop
 from http_gateway.net.frontend.listener import Frontend
-from http_gateway.net.log_rate_limit import LogRateLimiter
+from http_gateway.net.log_rate_limit import BoundedFormatter, LogRateLimiter
 from http_gateway.net.loop_lag import LoopLagMonitor
 from http_gateway.net.memory.budget import MemoryBudget, MessageBudgets
 from http_gateway.net.memory.plan import MemoryPlan, plan_memory
@@ -66,18 +68,27 @@
             config.connect_timeout_s, config.idle_timeout_s, plan.max_endpoint_connections, budgets
         )
         balancer = Balancer(config.settings, config.seed)
+        self._plan = plan
+        self._budgets = budgets
+        self._endpoints_at_start = len(config.cached_list.entries)
+        self._directory = EndpointDirectory(plan.max_endpoints(self._endpoints_at_start))
         self._dispatcher = RequestDispatcher(
-            balancer, self._pool, budgets.requests, AttemptedRequestIds(plan.max_request_ids)
+            balancer,
+            self._pool,
+            budgets.requests,
+            AttemptedRequestIds(plan.max_request_ids),
+            self._directory,
         )
         self._dispatcher.update_endpoints(config.cached_list, is_cached=True)
         self._frontend = Frontend(self._dispatcher, config.settings, plan.max_client_connections, budgets)
         self._discovery = DiscoveryClient(
             config.discovery_address,
             config.cached_list.revision,
-            self._dispatcher.update_endpoints,
+            self._update_endpoints,
             config.settings,
+            plan.max_document_bytes,
         )
-        self._reloader = ConfigReloader(config, self._discovery, os.environ)
+        self._reloader = ConfigReloader(config, self._discovery, os.environ, plan.max_document_bytes)
         self._lag_monitor = LoopLagMonitor()
         self._memory_monitor = MemoryMonitor(config.memory_limit_bytes, self._describe_usage)
         self._stop_requested = asyncio.Event()
@@ -103,6 +114,7 @@
             await self._stop_requested.wait()
             await self._shut_down()
         finally:
+            self._reloader.stop()
             self._discovery.stop()
             self._lag_monitor.stop()
             self._memory_monitor.stop()
@@ -121,9 +133,9 @@
             await asyncio.sleep(BIND_RETRY_DELAY_S)
 
     def _enable_reload(self, early_sighups: Sequence[int]) -> None:
-        self._loop.add_signal_handler(signal.SIGHUP, self._reloader.reload)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reloader.request_reload)
         if early_sighups:
-            self._reloader.reload()
+            self._reloader.request_reload()
 
     async def _wait_for_first_list(self) -> None:
         """Wait until discovery responds, stop is requested or the timeout expires.
@@ -148,6 +160,13 @@
         self._memory_monitor.start()
         log.info("listening name=%s address=%s:%d", self._config.name, self._config.listen_address[0], port)
 
+    def _update_endpoints(self, endpoint_list: EndpointList) -> None:
+        """Apply a list, and give the memory that further endpoints take away from the messages."""
+        self._dispatcher.update_endpoints(endpoint_list)
+        limit_bytes = self._plan.message_bytes(max(0, len(self._directory) - self._endpoints_at_start))
+        self._budgets.requests.set_limit(limit_bytes)
+        self._budgets.responses.set_limit(limit_bytes)
+
     def _describe_usage(self) -> str:
         return (
             f"client_connections={len(self._frontend.connections)}"
@@ -234,14 +253,12 @@
 def _set_up_logging(level_name: str) -> None:
     """Write log lines of a level and above to standard error; an unknown level counts as INFO."""
     level = logging.getLevelNamesMapping().get(level_name.upper(), logging.INFO)
-    logging.basicConfig(
-        stream=sys.stderr,
-        level=level,
-        format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
-        datefmt="%H:%M:%S",
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        BoundedFormatter("%(asctime)s.%(msecs)03d %(levelname)s %(message)s", datefmt="%H:%M:%S")
     )
-    for handler in logging.getLogger().handlers:
-        handler.addFilter(LogRateLimiter())
+    handler.addFilter(LogRateLimiter())
+    logging.basicConfig(handlers=[handler], level=level)
 
 
 def main() -> int:
--- a/tests/integration/test_discovery_client.py
+++ b/tests/integration/test_discovery_client.py
@@ -14,6 +14,7 @@
 from http_gateway.net.discovery.poll_schedule import PollSchedule
 from http_gateway.net.discovery.watch import DiscoveryWatch
 from http_gateway.net.http.messages import Message
+from http_gateway.net.memory.plan import MAX_DOCUMENT_BYTES
 from http_gateway.policy.time_units import US_PER_S
 from tests.support.discovery import (
     PUSHED_SETTINGS,
@@ -46,7 +47,9 @@
         loop = asyncio.get_running_loop()
         lists: list[EndpointList] = []
         address = ("127.0.0.1", service.port)
-        client = DiscoveryClient(address, 0, lists.append, polled_settings(4, gateway_index=3))
+        client = DiscoveryClient(
+            address, 0, lists.append, polled_settings(4, gateway_index=3), MAX_DOCUMENT_BYTES
+        )
         started_at_s = loop.time()
         if switches:
             client.switch_to(address)
--- a/tests/integration/test_memory_limit.py
+++ b/tests/integration/test_memory_limit.py
@@ -3,19 +3,35 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import orjson
 import pytest
 
 from http_gateway.net.http.messages import Message
 from tests.support import crowd
 from tests.support.crowd import ClientScript, SoundClients
 from tests.support.discovery import WATCH_HEAD, chunk, list_document
-from tests.support.loopback import LoopbackPeer, PeerScript, async_test, respond_with, start_peers
+from tests.support.loopback import (
+    LoopbackPeer,
+    PeerScript,
+    async_test,
+    respond_with,
+    start_peers,
+    wait_until,
+)
 from tests.support.process_memory import open_descriptors, peak_resident_bytes
-from tests.support.service import config_document, listening_port, running_service
+from tests.support.service import (
+    config_document,
+    listening_port,
+    readiness_status,
+    running_service,
+    write_config,
+)
 
 # The least memory and the most descriptors that the operators' pages name.
 MEMORY_MB = 32
@@ -28,6 +44,8 @@
 SOUND_CLIENTS = 40
 SOUND_INTERVAL_S = 0.4
 DURATION_S = 4.0
+PIECE_INTERVAL_S = 0.05
+SIGNAL_INTERVAL_S = 0.001
 MIN_SERVED_SHARE = 0.9
 LATENCY_OBJECTIVE_S = 0.4  # of the request classes in the settings
 
@@ -131,6 +149,58 @@
         assert sound.statuses[200] > 0
 
 
+@async_test
+async def test_process_over_its_memory_limit_under_long_lists(tmp_path: Path) -> None:
+    """Guards against discovery that sends a long list, or endpoints under ever new names."""
+    names = itertools.count()
+
+    def new_entries(count: int) -> list[dict[str, object]]:
+        return [
+            endpoint.list_entry(id=f"s-{number:08x}", host_port=f"127.0.0.1:{20_000 + number % 40_000}")
+            for number in itertools.islice(names, count)
+        ]
+
+    async def send_lists(request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(WATCH_HEAD + chunk(list_document(42, endpoint.list_entry())))
+        if len(discovery.requests) % 2:
+            writer.write(chunk(list_document(43, *new_entries(20_000))))
+            return
+        for revision in range(43, 60):
+            writer.write(chunk(list_document(revision, *new_entries(500), complete=False)))
+            await asyncio.sleep(PIECE_INTERVAL_S)
+
+    async with (
+        start_peers(respond_with(), send_lists) as (endpoint, discovery),
+        running_service(tmp_path, config_document(discovery.port, limits=LIMITS), MAX_DESCRIPTORS) as process,
+    ):
+        port = await listening_port(process)
+        await wait_until(lambda: len(discovery.requests) > 4)
+        peak = peak_resident_bytes(process.pid)
+        print(f"lists: peak {peak / BYTES_PER_MB:.1f} MB")
+        assert peak < MEMORY_MB * BYTES_PER_MB
+        assert await readiness_status(port) == 200
+
+
+@async_test
+async def test_signals_in_series_delay_clients_or_take_memory(tmp_path: Path) -> None:
+    """Guards against reloads that come faster than the file can be read, and a file that has grown."""
+    async with running_limited_service(tmp_path, respond_with()) as (port, process):
+        document = orjson.loads((tmp_path / "config.json").read_bytes())
+        write_config(tmp_path, document | {"comment": "x" * 10 * BYTES_PER_MB})
+        sound = SoundClients(port)
+        clients = asyncio.create_task(sound.run(SOUND_CLIENTS, DURATION_S, SOUND_INTERVAL_S))
+        while not clients.done():
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(SIGNAL_INTERVAL_S)
+        await clients
+        peak = peak_resident_bytes(process.pid)
+        print(f"signals: peak {peak / BYTES_PER_MB:.1f} MB, worst latency {sound.worst_latency_s:.3f} s")
+        assert process.returncode is None
+        assert peak < MEMORY_MB * BYTES_PER_MB
+        assert sound.served_share >= MIN_SERVED_SHARE
+        assert sound.worst_latency_s < LATENCY_OBJECTIVE_S
+
+
 @async_test
 async def test_process_maps_openssl_that_it_does_not_use(tmp_path: Path) -> None:
     """Guards against 5 MB of libraries that an import brings along."""
--- a/tests/integration/test_service_limits.py
+++ b/tests/integration/test_service_limits.py
@@ -16,8 +16,8 @@
 
 from http_gateway import service
 from http_gateway.net import config
-from http_gateway.net.discovery import json_stream
 from http_gateway.net.http.messages import Message
+from http_gateway.net.memory import plan
 from tests.support.discovery import WATCH_HEAD, chunk, list_document
 from tests.support.loopback import (
     LoopbackClient,
@@ -254,5 +254,5 @@
     """
     peer = LoopbackPeer(never_respond, port=65535)
     entry = peer.list_entry(id="s-" + "0" * 60, locality="z" * 60, machine_type="f" * 60)
-    assert 4 * len(list_document(1, *[entry] * LARGE_COUNT)) < 2 * json_stream.MAX_DOCUMENT_BYTES
+    assert 4 * len(list_document(1, *[entry] * LARGE_COUNT)) < 2 * plan.MAX_DOCUMENT_BYTES
     assert len(list_document(1, *[entry] * LARGE_COUNT)) < config.MAX_FILE_BYTES / 4
--- a/tests/support/discovery.py
+++ b/tests/support/discovery.py
@@ -12,6 +12,7 @@
 from http_gateway.net.discovery.client import DiscoveryClient
 from http_gateway.net.discovery.endpoint_list import EndpointList
 from http_gateway.net.http.messages import Message
+from http_gateway.net.memory.plan import MAX_DOCUMENT_BYTES
 from http_gateway.policy.settings import Settings
 from http_gateway.policy.time_units import US_PER_MS
 from tests.support.loopback import SETTINGS, LoopbackPeer
@@ -61,7 +62,9 @@
 ) -> AsyncIterator[tuple[DiscoveryClient, list[EndpointList]]]:
     """Run a client of a service; yields the client and the lists that it has received so far."""
     lists: list[EndpointList] = []
-    client = DiscoveryClient(("127.0.0.1", service.port), revision, lists.append, settings)
+    client = DiscoveryClient(
+        ("127.0.0.1", service.port), revision, lists.append, settings, MAX_DOCUMENT_BYTES
+    )
     client.start()
     try:
         yield client, lists
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from http_gateway.net.attempted_ids import AttemptedRequestIds
+from http_gateway.net.discovery.endpoint_directory import EndpointDirectory
 from http_gateway.net.discovery.endpoint_list import EndpointEntry, EndpointList, endpoint_id
 from http_gateway.net.frontend.listener import Frontend
 from http_gateway.net.http.messages import Message
@@ -36,6 +37,7 @@
 POLL_INTERVAL_S = 0.005
 MAX_UNREAD_REQUESTS = 1000
 MAX_REQUEST_IDS = 1000
+MAX_ENDPOINTS = 4096
 DEFAULT_MESSAGE_BYTES = 4 * 1024 * 1024
 
 # Each request gets its own id, because a gateway rejects a request whose id belongs to an open request.
@@ -363,7 +365,13 @@
     budgets = message_budgets(max_message_bytes, max_connections)
     pool = UpstreamPool(connect_timeout_s, idle_timeout_s, max_connections, budgets)
     balancer = Balancer(settings, seed=1)
-    dispatcher = RequestDispatcher(balancer, pool, budgets.requests, AttemptedRequestIds(MAX_REQUEST_IDS))
+    dispatcher = RequestDispatcher(
+        balancer,
+        pool,
+        budgets.requests,
+        AttemptedRequestIds(MAX_REQUEST_IDS),
+        EndpointDirectory(MAX_ENDPOINTS),
+    )
     if entries:
         dispatcher.update_endpoints(EndpointList(1, True, entries))
     frontend = Frontend(dispatcher, settings, max_connections, budgets)
--- a/tests/unit/test_endpoint_list.py
+++ b/tests/unit/test_endpoint_list.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-from http_gateway.net.discovery.endpoint_list import endpoint_id, read_endpoint_list
+import pytest
+
+from http_gateway.net.discovery.endpoint_list import (
+    MAX_NAME_LENGTH,
+    EndpointListError,
+    endpoint_id,
+    read_endpoint_list,
+)
 from http_gateway.policy.endpoint import EndpointState
 from http_gateway.policy.time_units import US_PER_MS
 
@@ -36,3 +43,10 @@
 def test_endpoint_id_is_the_same_at_every_gateway() -> None:
     assert endpoint_id("s-5be2a07c") == 9587356208999800076
     assert endpoint_id("s-5be2a07c") != endpoint_id("s-5be2a07d")
+
+
+@pytest.mark.parametrize("field", ["locality", "flavor", "host_port"])
+def test_list_with_a_name_that_is_too_long_is_rejected(field: str) -> None:
+    document = {"id": "s-1", "host_port": "127.0.0.1:9000", "phase": "Ready"}
+    with pytest.raises(EndpointListError, match=f"{field} has over"):
+        read_endpoint_list({"members": [document | {field: "z" * (MAX_NAME_LENGTH + 1)}]})
--- a/tests/unit/test_log_rate_limit.py
+++ b/tests/unit/test_log_rate_limit.py
@@ -4,7 +4,12 @@
 
 import logging
 
-from http_gateway.net.log_rate_limit import MIN_INTERVAL_S, LogRateLimiter
+from http_gateway.net.log_rate_limit import (
+    MAX_ENTRY_CHARACTERS,
+    MIN_INTERVAL_S,
+    BoundedFormatter,
+    LogRateLimiter,
+)
 
 
 def record_at(created_s: float, message: str, *arguments: object) -> logging.LogRecord:
@@ -48,3 +53,11 @@
     assert limiter.filter(record_at(7200.0, "connect failed port=%d", 1))
     assert limiter.filter(record_at(3600.0, "connect failed port=%d", 2))
     assert not limiter.filter(record_at(3600.5, "connect failed port=%d", 3))
+
+
+def test_long_entry_is_cut_off() -> None:
+    long_name = "x" * 100_000
+    record = logging.LogRecord("gateway", logging.INFO, "", 0, "lost name=%s", (long_name,), None)
+    text = BoundedFormatter("%(message)s").format(record)
+    assert len(text) < MAX_ENTRY_CHARACTERS + 100
+    assert text.endswith(f"cut_characters={len('lost name=') + len(long_name) - MAX_ENTRY_CHARACTERS}")
