Move the making of policy events out of the dispatcher, which had grown too long

The functions that turn requests and lists into events of the policy get a module of their own. No behaviour changes.

--- a/http_gateway/net/request_dispatcher.py
+++ b/http_gateway/net/request_dispatcher.py
@@ -23,6 +23,7 @@
 from http_gateway.net.dispatched_request import DispatchedRequest, time_out
 from http_gateway.net.http.messages import Message
 from http_gateway.net.memory.budget import MemoryBudget
+from http_gateway.net.policy_events import request_arrived_event, update_kind
 from http_gateway.net.request_log import (
     log_abandoned,
     log_answered,
@@ -46,7 +47,6 @@
     AttemptEnded,
     EndpointListUpdate,
     Event,
-    ListUpdateKind,
     Outcome,
     RequestAbandoned,
     RequestArrived,
@@ -132,7 +132,7 @@
         self._has_endpoint_list = self._has_endpoint_list or bool(endpoint_list.entries)
         endpoint_list = self._directory.resolve(endpoint_list, is_cached or endpoint_list.is_complete)
         endpoints = tuple(entry.endpoint for entry in endpoint_list.entries)
-        self._dispatch_event(EndpointListUpdate(_update_kind(endpoint_list, is_cached), endpoints))
+        self._dispatch_event(EndpointListUpdate(update_kind(endpoint_list, is_cached), endpoints))
         self._pool.update_endpoints(endpoint_list.entries, endpoint_list.is_complete or is_cached)
 
     def submit(
@@ -166,7 +166,7 @@
         self._requests[request_id] = request
         self._budget.reserve(request.memory_bytes)
         self._start_deadline_timer(request_id, request)
-        self._dispatch_event(_request_arrived_event(request_id, client_request, deadline_at_us - now_us))
+        self._dispatch_event(request_arrived_event(request_id, client_request, deadline_at_us - now_us))
         return request_id
 
     def _arrived_after_us(self, client_request: ClientRequest, now_us: int) -> int:
@@ -384,26 +384,6 @@
         self._release_if_answered(request_id)
 
 
-def _update_kind(endpoint_list: EndpointList, is_cached: bool) -> ListUpdateKind:
-    if is_cached:
-        return ListUpdateKind.CACHED
-    return ListUpdateKind.COMPLETE if endpoint_list.is_complete else ListUpdateKind.DELTA
-
-
-def _request_arrived_event(
-    request_id: RequestId, client_request: ClientRequest, timeout_us: int
-) -> RequestArrived:
-    return RequestArrived(
-        request_id,
-        client_request.class_name,
-        timeout_us,
-        client_request.cost_us,
-        client_request.key,
-        client_request.is_client_retry,
-        client_request.tenant,
-    )
-
-
 def _shed_response(retry_after_us: int) -> Response:
     headers = [(b"retry-after", b"%.3f" % (retry_after_us / US_PER_S))] if retry_after_us else []
     return Response(HTTPStatus.SERVICE_UNAVAILABLE, headers)
