Give the test of a small share in slow start a clock that no pause of the test moves

Cause, by a trace of each request: a pause of 0.1 s after the sixth request and one of 0.3 s after the twentieth send 33 of 40 there (1 of 15 runs with pauses of that kind; without pauses 0 to 4). The endpoints answer in 2 ms though each request names 80 ms of work, so the policy estimates a throughput of 40 cores, and a pause then refills the bucket of the new endpoint for several requests. That is allowed by that estimate; the test depended on the pauses of its machine.

Change: the gateway's clock goes on by 300 us with each read. The bound stays.

--- a/tests/integration/test_request_dispatcher.py
+++ b/tests/integration/test_request_dispatcher.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from http_gateway.net.clock import Clock
 from http_gateway.net.discovery.endpoint_list import EndpointEntry
 from http_gateway.net.dispatched_request import DispatchedRequest
 from http_gateway.policy.actions import Action, ShedRequest
@@ -224,8 +225,13 @@
 
 
 @async_test
-async def test_endpoint_in_slow_start_gets_a_small_share() -> None:
-    """The policy receives the start time of each endpoint on the gateway's clock."""
+async def test_endpoint_in_slow_start_gets_a_small_share(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The policy receives the start time of each endpoint on the gateway's clock.
+
+    The clock goes on by a fixed step each time it is read. The endpoints respond at once, although each
+    request names 80 ms of work, so the policy takes them for very fast. A pause of the test would count as time in
+    which the new endpoint could have served many requests.
+    """
     settings = Settings((READ, BUY), max_attempts=5, initial_capacity=0.13, slow_start_window_us=24_000_000)
     async with start_peers(respond_with(), respond_with()) as (started, warm):
         now_us = time.time_ns() // 1000
@@ -234,6 +240,8 @@
             warm.endpoint_entry(machine_type="m2"),
         ]
         async with running_gateway(*entries, settings=settings) as gateway:
+            times_us = itertools.count(Clock().now_us(), step=300)
+            monkeypatch.setattr(Clock, "now_us", lambda _: next(times_us))
             for _ in range(40):
                 assert (await gateway.request(headers={"X-Cost-Hint": "80000"})).status == 200
             assert len(started.requests) < 10
