Let the soak have crowds, the least memory, and clients that stay until the kill

All gateways have 32 MB and 1,024 descriptors, and a peak over the limit breaks the run. After SIGTERM clients go on with the connections that are open.

--- a/tests/integration/test_request_dispatcher.py
+++ b/tests/integration/test_request_dispatcher.py
@@ -229,8 +229,8 @@
     """The policy receives the start time of each endpoint on the gateway's clock.
 
     The clock goes on by a fixed step each time it is read. The endpoints respond at once, although each
-    request names 80 ms of work, so the policy takes them for very fast. A pause of the test would count as time in
-    which the new endpoint could have served many requests.
+    request names 80 ms of work, so the policy takes them for very fast. A pause of the test would count as
+    time in which the new endpoint could have served many requests.
     """
     settings = Settings((READ, BUY), max_attempts=5, initial_capacity=0.13, slow_start_window_us=24_000_000)
     async with start_peers(respond_with(), respond_with()) as (started, warm):
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from tests.soak.run import SoakResult, run_soak
+from tests.soak.world import BYTES_PER_MB
 from tests.support.syscall_faults import build_library
 
 
@@ -22,7 +23,9 @@
                 seed_folder = Path(folder) / str(seed)
                 seed_folder.mkdir()
                 result = await run_soak(seed, seconds, seed_folder, library)
-            print(f"seed {seed}: {result.request_count} requests, {result.ends}, broken {len(result.broken)}")
+            load = f"{'crowd, ' if result.has_crowd else ''}peak {result.peak_bytes / BYTES_PER_MB:.1f} MB"
+            print(f"seed {seed}: {load}, {result.request_count} requests, {result.ends}", end="")
+            print(f", broken {len(result.broken)}")
             print("".join(f"  {text}\n" for text in result.broken[:10]), end="", flush=True)
             return result
 
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -97,6 +97,10 @@
             *self._repeated_executions(),
         ]
 
+    def _judged_attempts(self) -> list[AttemptRecord]:
+        """Return the attempts of sound clients; those of a crowd are not judged."""
+        return [attempt for attempt in self.attempts if attempt.request_id in self.requests]
+
     def _lost_requests(self) -> list[str]:
         broken = []
         for request in self.requests.values():
@@ -120,7 +124,7 @@
     def _late_attempts(self) -> list[str]:
         """Attempts that began after their client had left, or that told their endpoint too long a timeout."""
         broken = []
-        for attempt in self.attempts:
+        for attempt in self._judged_attempts():
             request = self.requests[attempt.request_id]
             lag_s = self.lag_before(attempt.received_at_s)
             left_s = request.sent_at_s + request.timeout_s - (attempt.received_at_s - lag_s)
@@ -136,7 +140,7 @@
 
     def _attempts_at_draining_endpoints(self) -> list[str]:
         broken = []
-        for attempt in self.attempts:
+        for attempt in self._judged_attempts():
             told_at_s = self.drain_told_at_s.get((attempt.gateway, attempt.endpoint))
             if told_at_s is None:
                 continue
@@ -148,7 +152,7 @@
 
     def _repeated_executions(self) -> list[str]:
         executed: dict[str, list[AttemptRecord]] = {}
-        for attempt in self.attempts:
+        for attempt in self._judged_attempts():
             if not attempt.is_rejected:
                 executed.setdefault(attempt.request_id, []).append(attempt)
         broken = []
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -19,6 +19,7 @@
 from tests.soak.history import AttemptRecord, Effect, History, RequestEnd, RequestRecord
 from tests.support.discovery import WATCH_HEAD, chunk, list_document
 from tests.support.loopback import LoopbackClient, LoopbackPeer, abort_with_reset
+from tests.support.process_memory import peak_resident_bytes
 from tests.support.service import config_document, free_port, listening_port, running_service
 
 GATEWAYS = ("n0", "n1", "n2")
@@ -32,6 +33,10 @@
 SECOND_COPY_PART = 0.1  # of the responses
 SIGKILL_AFTER_S = LONGEST_TIMEOUT_S + 0.7
 HEARTBEAT_S = 0.005
+MEMORY_CHECK_INTERVAL_S = 0.1
+MEMORY_MB = 32  # the least that the operators' pages name
+BYTES_PER_MB = 1_000_000
+LIMITS = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024}
 WATCH_HEARTBEAT_S = 2.0
 CLASS_NAMES = {Effect.IDEMPOTENT: "page-read", Effect.KEYED: "order-add", Effect.AT_MOST_ONCE: "chapter-buy"}
 SETTINGS: dict[str, Any] = {
@@ -194,8 +199,10 @@
         self.name = name
         self.port = free_port()
         self.is_accepting = False
+        self.is_draining = False  # from SIGTERM on: clients use their open connections until the process ends
         self.aborts_connections = "FAULT_ACCEPT_EVERY" in faults
         self.faults_seen: list[str] = []
+        self.peak_bytes = 0
         self._folder = folder / name
         self._folder.mkdir()
         self._discovery = discovery
@@ -210,24 +217,29 @@
                 name=self.name,
                 listen=f"127.0.0.1:{self.port}",
                 settings=SETTINGS,
+                limits=LIMITS,
             )
             async with running_service(self._folder, config, 0, **self._faults) as process:
                 await listening_port(process)
                 log = asyncio.create_task(self._read_log(process))
                 reloads = asyncio.create_task(self._reload(process))
+                memory = asyncio.create_task(self._watch_memory(process))
                 self.is_accepting = True
                 try:
                     await asyncio.sleep(run_s) if run_s is not None else await process.wait()
                     process.send_signal(signal.SIGTERM)
                     await asyncio.sleep(0.3)
                     self.is_accepting = False
+                    self.is_draining = True
                     with contextlib.suppress(TimeoutError):
                         await asyncio.wait_for(process.wait(), SIGKILL_AFTER_S - 0.3)
                     if process.returncode:
                         self.faults_seen.append(f"crash: {self.name} exited with {process.returncode}")
                 finally:
+                    self.is_draining = False
                     log.cancel()
                     reloads.cancel()
+                    memory.cancel()
 
     async def _reload(self, process: asyncio.subprocess.Process) -> None:
         """Send SIGHUP several times in a row, again and again, until the task is cancelled."""
@@ -237,6 +249,16 @@
                 if process.returncode is None:
                     process.send_signal(signal.SIGHUP)
 
+    async def _watch_memory(self, process: asyncio.subprocess.Process) -> None:
+        """Record when the process passes its memory limit, until the task is cancelled."""
+        while process.returncode is None:
+            with contextlib.suppress(OSError, ValueError):  # the process has just ended
+                self.peak_bytes = max(self.peak_bytes, peak_resident_bytes(process.pid))
+            if self.peak_bytes > MEMORY_MB * BYTES_PER_MB:
+                self.faults_seen.append(f"memory: {self.name}: {self.peak_bytes} bytes")
+                return
+            await asyncio.sleep(MEMORY_CHECK_INTERVAL_S)
+
     async def _read_log(self, process: asyncio.subprocess.Process) -> None:
         assert process.stderr is not None
         while line := (await process.stderr.readline()).decode(errors="replace"):
@@ -259,16 +281,21 @@
         async with asyncio.TaskGroup() as requests:
             while time.monotonic() < until_s:
                 await asyncio.sleep(self._random.expovariate(REQUESTS_PER_S))
-                accepting = [gateway for gateway in self._gateways if gateway.is_accepting]
-                if accepting:
-                    requests.create_task(self._send(self._random.choice(accepting)))
+                reachable = [gateway for gateway in self._gateways if self._is_reachable(gateway)]
+                if reachable:
+                    requests.create_task(self._send(self._random.choice(reachable)))
+
+    def _is_reachable(self, gateway: Gateway) -> bool:
+        """Return whether a request can be sent to a gateway, if only on an open connection."""
+        return gateway.is_accepting or (gateway.is_draining and bool(self._kept[gateway.name]))
 
     async def _send(self, gateway: Gateway) -> None:
         kept = self._kept[gateway.name]
         effect = self._random.choice(list(Effect))
         timeout_s = round(self._random.uniform(0.3, LONGEST_TIMEOUT_S), 3)
         record = RequestRecord(f"{next(self._ids):08x}", gateway.name, effect, time.monotonic(), timeout_s)
-        client = kept.pop() if kept and self._random.random() < KEPT_CONNECTION_PART else None
+        uses_kept = not gateway.is_accepting or self._random.random() < KEPT_CONNECTION_PART
+        client = kept.pop() if kept and uses_kept else None
         may_be_reset = client is not None or gateway.aborts_connections
         if client is None:
             try:
