--- a/http_gateway/net/frontend/client_connection.py
+++ b/http_gateway/net/frontend/client_connection.py
@@ -10,7 +10,7 @@
 from http_gateway.net.client_request import Response
 from http_gateway.net.event_loop import PollTimes
 from http_gateway.net.frontend.arrival_times import ArrivalTimes
-from http_gateway.net.frontend.client_transport import ClientTransport
+from http_gateway.net.frontend.client_transport import ClientPresence, ClientTransport
 from http_gateway.net.frontend.connection_limits import ConnectionLimits
 from http_gateway.net.frontend.connection_log import CloseReason, log_closed, log_rejected
 from http_gateway.net.frontend.in_flight_request import InFlightRequest, RequestIdRegistry
@@ -239,7 +239,7 @@
 
     def _handle_queued_requests(self) -> None:
         while self.requests and not self.in_flight.is_active and not self._is_writing_paused:
-            if self.transport.may_hide_disconnect:  # the unread bytes are read in the next iteration
+            if self.transport.presence is ClientPresence.UNKNOWN:  # the bytes are read in the next iteration
                 return
             request = self.requests.pop()
             message = request.message
@@ -273,10 +273,10 @@
         Clients send one request at a time, so bytes that follow a request in flight are not sound. The
         request is rejected then, since nothing tells whether its client still waits.
         """
-        if self.transport.may_hide_disconnect:
+        presence = self.transport.presence
+        if presence is ClientPresence.UNKNOWN:
             self._reject(HTTPStatus.BAD_REQUEST, _UNREAD_BYTES)
-            return True
-        return self.transport.has_disconnected
+        return presence is not ClientPresence.CONNECTED
 
     def _handle_partial_request(self) -> None:
         if self.in_flight.is_active or not self.requests.has_partial_request:
--- a/http_gateway/net/frontend/client_transport.py
+++ b/http_gateway/net/frontend/client_transport.py
@@ -5,12 +5,21 @@
 import asyncio
 import contextlib
 import select
+from enum import Enum
 
 # POLLRDHUP reports that the peer has closed its sending side. On systems without it, POLLHUP reports only
 # connections that are closed in both directions.
 _DISCONNECT_EVENT = getattr(select, "POLLRDHUP", select.POLLHUP)
 
 
+class ClientPresence(Enum):
+    """Whether a client still waits for its response."""
+
+    CONNECTED = "connected"
+    DISCONNECTED = "disconnected"
+    UNKNOWN = "unknown"  # the client may have disconnected behind bytes that are unread
+
+
 class ClientTransport:
     """Writes to a client and polls the client's socket.
 
@@ -31,23 +40,18 @@
     @property
     def has_unread_bytes(self) -> bool:
         """Whether the socket holds bytes that asyncio has not read yet and that a close would lose."""
-        return self._poll(select.POLLIN)
+        return self._poll_events(select.POLLIN) != 0
 
     @property
-    def has_disconnected(self) -> bool:
-        """Whether the client has closed its side of the connection, even if bytes are still unread."""
-        return self._poll(_DISCONNECT_EVENT)
+    def presence(self) -> ClientPresence:
+        """Whether the client still waits, even if the event loop has not read its disconnect yet.
 
-    @property
-    def may_hide_disconnect(self) -> bool:
-        """Whether the socket holds unread bytes behind which the client may have closed its side.
-
-        The operating system learns of the close only when it has room for the bytes before it.
+        The operating system learns of a disconnect only when it has room for the bytes before it.
         """
         events = self._poll_events(select.POLLIN | _DISCONNECT_EVENT)
-        return bool(events & select.POLLIN) and not events & (
-            _DISCONNECT_EVENT | select.POLLERR | select.POLLHUP
-        )
+        if events & (_DISCONNECT_EVENT | select.POLLERR | select.POLLHUP):
+            return ClientPresence.DISCONNECTED
+        return ClientPresence.UNKNOWN if events & select.POLLIN else ClientPresence.CONNECTED
 
     @property
     def unsent_bytes(self) -> int:
@@ -71,9 +75,6 @@
         """Close the connection at once and discard unsent bytes."""
         self.asyncio_transport.abort()
 
-    def _poll(self, events: int) -> bool:
-        return bool(self._poll_events(events) & (events | select.POLLERR | select.POLLHUP))
-
     def _poll_events(self, events: int) -> int:
         """Return the events that the operating system reports for the socket; none if it is closing."""
         if self.is_closing:
