Let the endpoint list grow to twice its size at the start, whatever the memory

Found on reading the plan again: with 32 MB a list of over 198,000 bytes was rejected, also where the configuration already names as many endpoints.

Change: the largest document and file are at least twice the size of the configuration file, and the list may have twice its endpoints. The memory of all endpoints counts, not only of those added later, as it was measured before the policy had them. An endpoint counts 2,560 bytes (2.0 to 2.6 KB measured, 500 to 2,000 endpoints).

The sum stays under 32 MB up to 1,024 endpoints by the plan's tests. Beyond that the list goes first, and the gateway needs more memory.

--- a/http_gateway/net/config_reload.py
+++ b/http_gateway/net/config_reload.py
@@ -15,8 +15,6 @@
 
 # Time between two reloads. Signals may come faster than the file can be read.
 MIN_RELOAD_INTERVAL_S = 0.1
-# A file may grow to this multiple of its size at the start, or to the size of a list from discovery.
-MAX_FILE_GROWTH = 2
 
 
 class ConfigReloader:
@@ -29,7 +27,7 @@
         config: The current configuration.
         discovery: The discovery client, which is switched to the new address.
         environment: The environment variables, which name the file.
-        max_document_bytes: The largest list that discovery may send, which the file may contain.
+        max_file_bytes: The largest file that is read.
     """
 
     def __init__(
@@ -37,9 +35,9 @@
         config: GatewayConfig,
         discovery: DiscoveryClient,
         environment: Mapping[str, str],
-        max_document_bytes: int,
+        max_file_bytes: int,
     ) -> None:
-        self._max_file_bytes = max(max_document_bytes, MAX_FILE_GROWTH * config.file_bytes)
+        self._max_file_bytes = max_file_bytes
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
         self._reloaded_at_s = -math.inf
--- a/http_gateway/net/memory/plan.py
+++ b/http_gateway/net/memory/plan.py
@@ -14,7 +14,7 @@
 CLIENT_CONNECTION_BYTES = 4608
 ENDPOINT_CONNECTION_BYTES = 4608
 # Memory of one endpoint of the list: its entry, its circuit breakers and its statistics.
-ENDPOINT_BYTES = 3 * KIB
+ENDPOINT_BYTES = 2560
 REQUEST_ID_BYTES = 128  # memory of the id of a request that may have been executed
 # Memory of one request in flight beside its message: its state in policy and dispatcher, attempts and timers.
 REQUEST_STATE_BYTES = 6 * KIB
@@ -36,6 +36,7 @@
 DOCUMENT_FRACTION = 0.14
 # File descriptors that are kept free for everything but client and endpoint connections.
 RESERVED_DESCRIPTORS = 32
+MAX_LIST_GROWTH = 2  # multiple of its size at the start to which the endpoint list may always grow
 MIN_ENDPOINTS = 1024  # which any gateway has to take
 MAX_DOCUMENT_BYTES = 4 * KIB * KIB  # a list of a few thousand endpoints is smaller
 MAX_REQUEST_IDS = 65_536  # some minutes of requests at usual rates
@@ -52,7 +53,8 @@
         resident_bytes: The memory of the process before it has any peer.
         max_client_connections: Connections that clients may have open.
         max_endpoint_connections: Connections to endpoints that may be open or opening.
-        max_document_bytes: The largest document that discovery may send.
+        max_document_bytes: The largest document that discovery may send, and the largest configuration file
+            that is read again.
         max_request_ids: Ids of requests that may have been executed, which are remembered.
     """
 
@@ -74,26 +76,26 @@
         """Memory of the largest document while it is decoded."""
         return self.max_document_bytes * DOCUMENT_COST_FACTOR
 
-    def message_bytes(self, added_endpoints: int = 0) -> int:
+    def message_bytes(self, endpoint_count: int) -> int:
         """Return the memory for the messages of each direction.
 
         Args:
-            added_endpoints: Endpoints in the list beyond those at the start, whose memory is resident then.
+            endpoint_count: Endpoints in the list.
         """
-        usable_bytes = int(
-            (self._free_bytes - added_endpoints * ENDPOINT_BYTES) * (1 - FRAGMENTATION_FRACTION)
-        )
-        return max(MIN_MESSAGE_BYTES, usable_bytes // 2)
+        free_bytes = self._free_bytes - endpoint_count * ENDPOINT_BYTES
+        return max(MIN_MESSAGE_BYTES, int(free_bytes * (1 - FRAGMENTATION_FRACTION)) // 2)
 
     def max_endpoints(self, endpoints_at_start: int) -> int:
         """Return how many endpoints the list may have, so that the least memory is left for messages.
 
+        A list may always grow to twice its length at the start.
+
         Args:
-            endpoints_at_start: Endpoints in the list at the start, whose memory is resident then.
+            endpoints_at_start: Endpoints in the list of the configuration.
         """
         least_bytes = int(2 * MIN_MESSAGE_BYTES / (1 - FRAGMENTATION_FRACTION))
-        added_endpoints = max(0, self._free_bytes - least_bytes) // ENDPOINT_BYTES
-        return max(MIN_ENDPOINTS, endpoints_at_start + added_endpoints)
+        affordable = max(0, self._free_bytes - least_bytes) // ENDPOINT_BYTES
+        return max(MIN_ENDPOINTS, affordable, MAX_LIST_GROWTH * endpoints_at_start)
 
     @property
     def _free_bytes(self) -> int:
@@ -102,13 +104,16 @@
         return self.limit_bytes - fixed_bytes - self.max_request_ids * REQUEST_ID_BYTES
 
 
-def plan_memory(limit_bytes: int, resident_bytes: int, max_descriptors: int) -> MemoryPlan:
+def plan_memory(
+    limit_bytes: int, resident_bytes: int, max_descriptors: int, config_file_bytes: int = 0
+) -> MemoryPlan:
     """Divide the memory limit.
 
     Args:
         limit_bytes: The memory limit of the process.
         resident_bytes: The memory of the process before it has any peer; 0 if it is unknown.
         max_descriptors: File descriptors that the process may open.
+        config_file_bytes: Size of the configuration file, which contains the last endpoint list.
 
     Returns:
         The plan. A limit that is too small for any plan gives one with the least of everything.
@@ -119,12 +124,12 @@
     affordable = max(MIN_CONNECTIONS, int(peer_bytes * CONNECTIONS_FRACTION) // pair_bytes)
     connections = max(1, min((max_descriptors - RESERVED_DESCRIPTORS) // 2, affordable))
     request_ids = int(peer_bytes * REQUEST_IDS_FRACTION) // REQUEST_ID_BYTES
-    document_bytes = int(peer_bytes * DOCUMENT_FRACTION) // DOCUMENT_COST_FACTOR
+    document_bytes = min(MAX_DOCUMENT_BYTES, int(peer_bytes * DOCUMENT_FRACTION) // DOCUMENT_COST_FACTOR)
     return MemoryPlan(
         limit_bytes,
         resident_bytes,
         max_client_connections=connections,
         max_endpoint_connections=connections,
         max_request_ids=max(MIN_REQUEST_IDS, min(MAX_REQUEST_IDS, request_ids)),
-        max_document_bytes=max(MIN_DOCUMENT_BYTES, min(MAX_DOCUMENT_BYTES, document_bytes)),
+        max_document_bytes=max(MIN_DOCUMENT_BYTES, document_bytes, MAX_LIST_GROWTH * config_file_bytes),
     )
--- a/http_gateway/service.py
+++ b/http_gateway/service.py
@@ -60,8 +60,11 @@
     """
 
     def __init__(self, config: GatewayConfig) -> None:
-        plan = plan_memory(config.memory_limit_bytes, resident_bytes(), config.max_descriptors)
-        budgets = _message_budgets(plan)
+        plan = plan_memory(
+            config.memory_limit_bytes, resident_bytes(), config.max_descriptors, config.file_bytes
+        )
+        endpoint_count = len(config.cached_list.entries)
+        budgets = _message_budgets(plan, endpoint_count)
         self._config = config
         self._loop = asyncio.get_running_loop()
         self._pool = UpstreamPool(
@@ -70,8 +73,7 @@
         balancer = Balancer(config.settings, config.seed)
         self._plan = plan
         self._budgets = budgets
-        self._endpoints_at_start = len(config.cached_list.entries)
-        self._directory = EndpointDirectory(plan.max_endpoints(self._endpoints_at_start))
+        self._directory = EndpointDirectory(plan.max_endpoints(endpoint_count))
         self._dispatcher = RequestDispatcher(
             balancer,
             self._pool,
@@ -161,9 +163,9 @@
         log.info("listening name=%s address=%s:%d", self._config.name, self._config.listen_address[0], port)
 
     def _update_endpoints(self, endpoint_list: EndpointList) -> None:
-        """Apply a list, and give the memory that further endpoints take away from the messages."""
+        """Apply a list, and take the memory of its endpoints away from the messages."""
         self._dispatcher.update_endpoints(endpoint_list)
-        limit_bytes = self._plan.message_bytes(max(0, len(self._directory) - self._endpoints_at_start))
+        limit_bytes = self._plan.message_bytes(len(self._directory))
         self._budgets.requests.set_limit(limit_bytes)
         self._budgets.responses.set_limit(limit_bytes)
 
@@ -207,8 +209,8 @@
             log.warning("connections still open at exit count=%d", len(self._frontend.connections))
 
 
-def _message_budgets(plan: MemoryPlan) -> MessageBudgets:
-    limit_bytes = plan.message_bytes()
+def _message_budgets(plan: MemoryPlan, endpoint_count: int) -> MessageBudgets:
+    limit_bytes = plan.message_bytes(endpoint_count)
     return MessageBudgets(
         MemoryBudget("requests", limit_bytes, plan.max_client_connections),
         MemoryBudget("responses", limit_bytes, plan.max_endpoint_connections),
