--- a/http_gateway/net/memory/plan.py
+++ b/http_gateway/net/memory/plan.py
@@ -39,7 +39,7 @@
 MAX_LIST_GROWTH = 2  # multiple of its size at the start to which the endpoint list may always grow
 MIN_ENDPOINTS = 1024  # which any gateway has to take
 MAX_DOCUMENT_BYTES = 4 * KIB * KIB  # a list of a few thousand endpoints is smaller
-MAX_REQUEST_IDS = 65_536  # some minutes of requests at usual rates
+MAX_REQUEST_IDS = 16_384  # a minute of requests at usual rates
 MIN_REQUEST_IDS = 1024
 MIN_DOCUMENT_BYTES = 192 * KIB  # a list of a thousand endpoints is smaller
 
