Evict incomplete requests down to the part of the memory that a large request may use

Cause: admits large requests up to 0.6 of the budget, as a check on top of an eviction that stops at the whole of it. Incomplete requests fill the rest, so the check never passes.

Change: the eviction takes the target that applies to the amount, and has one place that compares.

A unit test and test_crowd_shuts_out_sound_clients_with_large_requests fail before.

--- a/http_gateway/net/memory/budget.py
+++ b/http_gateway/net/memory/budget.py
@@ -81,7 +81,7 @@
         limit_bytes = self._limit_bytes
         if amount_bytes > SMALL_AMOUNT_BYTES:
             limit_bytes = int(limit_bytes * LARGE_AMOUNTS_FRACTION)
-        self._evict_for(amount_bytes)
+        self._evict_until(limit_bytes - amount_bytes)
         return self.held_bytes + amount_bytes <= limit_bytes
 
     def set_incomplete(self, holder: MessageHolder, amount_bytes: int) -> None:
@@ -99,14 +99,15 @@
 
     def enforce(self) -> None:
         """Evict incomplete messages until the limit is kept or those left are under their fair share."""
-        self._evict_for(0)
+        self._evict_until(self._limit_bytes)
 
-    def _evict_for(self, amount_bytes: int) -> None:
-        if self.held_bytes + amount_bytes <= self._limit_bytes:
+    def _evict_until(self, target_bytes: int) -> None:
+        """Evict incomplete messages over their fair share until all messages take no more than the target."""
+        if self.held_bytes <= target_bytes:
             return
         fair_share_bytes = self._limit_bytes // self._max_holders
         for holder in [holder for holder, held in self._incomplete.items() if held > fair_share_bytes]:
-            if self.held_bytes + amount_bytes <= self._limit_bytes:
+            if self.held_bytes <= target_bytes:
                 return
             log.warning(
                 "memory budget exceeded budget=%s held_bytes=%d limit_bytes=%d evicted_bytes=%d",
--- a/tests/integration/test_memory_limit.py
+++ b/tests/integration/test_memory_limit.py
@@ -44,6 +44,7 @@
 CROWD_SIZE = 400
 PART_OF_CROWD = 64  # clients of each kind, if there are several kinds
 SOUND_CLIENTS = 40
+LARGE_SOUND_CLIENTS = 10  # with large requests
 SOUND_INTERVAL_S = 0.4
 DURATION_S = 4.0
 PIECE_INTERVAL_S = 0.05
@@ -99,6 +100,21 @@
         assert sound.served_share >= MIN_SERVED_SHARE
 
 
+@pytest.mark.parametrize("name", ["half a body", "slow bodies", "short fields"])
+@async_test
+async def test_crowd_shuts_out_sound_clients_with_large_requests(tmp_path: Path, name: str) -> None:
+    """Guards against incomplete requests that leave no memory for complete ones with a large body."""
+    client_script, endpoint_script = CROWDS[name]
+    async with running_limited_service(tmp_path, endpoint_script) as (port, process):
+        sound = SoundClients(port, bytes(crowd.LARGE_BODY_BYTES))
+        async with crowd.crowd(port, CROWD_SIZE, client_script):
+            await sound.run(LARGE_SOUND_CLIENTS, DURATION_S, SOUND_INTERVAL_S)
+        peak = peak_resident_bytes(process.pid)
+        print(f"{name}, large requests: peak {peak / BYTES_PER_MB:.1f} MB, {dict(sound.statuses)}")
+        assert peak < MEMORY_MB * BYTES_PER_MB
+        assert sound.served_share >= HALF
+
+
 FULL_SPEED_SCRIPTS: dict[str, ClientScript] = {
     "valid requests": crowd.send_valid_requests,
     "health checks": crowd.send_up_checks,
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -151,11 +151,13 @@
     """Clients that send one request at a time and read its response.
 
     Attributes:
+        body: The body of each request.
         statuses: How many requests ended with each status; 0 stands for a request without a response.
         latencies_s: The time of each response with status 200.
     """
 
     port: int
+    body: bytes = b"one ticket"
     statuses: Counter[int] = field(default_factory=Counter)
     latencies_s: list[float] = field(default_factory=list)
 
@@ -185,7 +187,7 @@
             try:
                 async with asyncio.timeout(SOUND_TIMEOUT_S):
                     client = client or await LoopbackClient.connect(self.port)
-                    response = await client.request("chapter-buy", body=b"one ticket")
+                    response = await client.request("chapter-buy", body=self.body)
             except (OSError, TimeoutError):
                 if client is not None:
                     client.close()
--- a/tests/unit/net/test_memory_budget.py
+++ b/tests/unit/net/test_memory_budget.py
@@ -87,3 +87,15 @@
         budget.reserve(SMALL_AMOUNT_BYTES)
         small_count += 1
     assert small_count >= 40
+
+
+def test_large_request_is_shut_out_by_incomplete_ones() -> None:
+    """Guards against a crowd that holds the part of the limit which large requests do not get."""
+    limit_bytes = 100 * SMALL_AMOUNT_BYTES
+    budget = MemoryBudget("requests", limit_bytes, MAX_HOLDERS)
+    holders = [Holder(budget) for _ in range(MAX_HOLDERS)]
+    for holder in holders:
+        budget.set_incomplete(holder, limit_bytes // MAX_HOLDERS + 1)
+    assert budget.has_room_for(4 * SMALL_AMOUNT_BYTES)
+    assert budget.held_bytes <= LARGE_AMOUNTS_FRACTION * limit_bytes
+    assert not holders[-1].is_evicted
