Build the message budgets, the least limits and the crowd's loops in one place each

No behaviour changes.

- MessageBudgets is a NamedTuple that creates both budgets and sets both limits; service and tests each had a copy.
- Released memory goes through release alone, not also through negative reservations.
An unused property goes.
- The unit of MB is defined once in the gateway and once in the tests, the least limits once in tests/support/service.py.
- Three clients of the crowd at full speed share their loop.
- Comments that a newcomer had to solve are reworded.

--- a/http_gateway/net/attempted_ids.py
+++ b/http_gateway/net/attempted_ids.py
@@ -6,8 +6,8 @@
 class AttemptedRequestIds:
     """Remembers the X-Request-Id values of the latest requests whose repetition may have an effect.
 
-    The ids are kept as hashes in two generations. When the younger one is full, the older one is dropped. So
-    at least half as many of the latest ids are remembered as there may be.
+    The ids are kept as hashes in two generations of equal size. When the younger one is full, the older one
+    is dropped. So the latest `max_ids / 2` ids are always remembered.
 
     Args:
         max_ids: The number of ids that are remembered at most.
--- a/http_gateway/net/config.py
+++ b/http_gateway/net/config.py
@@ -13,6 +13,7 @@
 from http_gateway.json_fields import FieldError, JsonFields
 from http_gateway.net.address import Address, AddressError, parse_address
 from http_gateway.net.discovery.endpoint_list import EndpointList, EndpointListError, read_endpoint_list
+from http_gateway.net.memory.plan import BYTES_PER_MB
 from http_gateway.policy.settings import InvalidSettingsError, Settings
 from http_gateway.policy.time_units import US_PER_S
 from http_gateway.settings_reader import read_settings
@@ -21,7 +22,6 @@
 DEFAULT_IDLE_TIMEOUT_US = 15 * US_PER_S
 DEFAULT_MAX_DESCRIPTORS = 1024
 DEFAULT_MEMORY_MB = 192
-BYTES_PER_MB = 1_000_000  # the smaller reading of the unit, as the limit may be meant in either
 
 # Fields of the file that an environment variable overrides. The variables for `name` and `listen` apply at
 # startup and at each reload. PROXY_DISCOVERY applies at startup only, so that a reload can change the
--- a/http_gateway/net/config_reload.py
+++ b/http_gateway/net/config_reload.py
@@ -37,13 +37,13 @@
         environment: Mapping[str, str],
         max_file_bytes: int,
     ) -> None:
+        self._config = config
+        self._discovery = discovery
+        self._environment = environment
         self._max_file_bytes = max_file_bytes
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
         self._reloaded_at_s = -math.inf
-        self._config = config
-        self._discovery = discovery
-        self._environment = environment
 
     def request_reload(self) -> None:
         """Reload soon; requests that come before that are answered by the same reload."""
--- a/http_gateway/net/frontend/request_queue.py
+++ b/http_gateway/net/frontend/request_queue.py
@@ -69,7 +69,9 @@
         """
         messages = self._reader.feed(data)
         self._queue.extend(ReceivedRequest(message, arrived_after_s) for message in messages)
-        self._reserve(sum(message.memory_bytes for message in messages))
+        new_bytes = sum(message.memory_bytes for message in messages)
+        self._queued_bytes += new_bytes
+        self._budget.reserve(new_bytes)
         if messages:  # another request is incomplete now, which began later
             self._set_incomplete(0)
         self._set_incomplete(self._reader.partial_memory_bytes)
@@ -81,7 +83,7 @@
             IndexError: The queue is empty.
         """
         request = self._queue.popleft()
-        self._reserve(-request.message.memory_bytes)
+        self._release(request.message.memory_bytes)
         return request
 
     def consume_continue_expectation(self) -> bool:
@@ -105,13 +107,13 @@
 
     def _clear(self) -> None:
         self._queue.clear()
-        self._reserve(-self._queued_bytes)
+        self._release(self._queued_bytes)
         self._set_incomplete(0)
 
     def _set_incomplete(self, amount_bytes: int) -> None:
         if self._holder is not None:
             self._budget.set_incomplete(self._holder, amount_bytes)
 
-    def _reserve(self, amount_bytes: int) -> None:
-        self._queued_bytes += amount_bytes
-        self._budget.reserve(amount_bytes)
+    def _release(self, amount_bytes: int) -> None:
+        self._queued_bytes -= amount_bytes
+        self._budget.release(amount_bytes)
--- a/http_gateway/net/http/reader.py
+++ b/http_gateway/net/http/reader.py
@@ -35,8 +35,8 @@
         is_message_limit_reached: Whether more messages arrived at once than the reader parses; the bytes
             after these messages were dropped, and `feed` must not be called again.
         error: The error in the bytes after the complete messages; None if there is none.
-        MAX_MESSAGES_AT_ONCE: Number of messages in one call of `feed` after which the next one is the last
-            that is parsed.
+        MAX_MESSAGES_AT_ONCE: Number of messages that may be complete at once. A call of `feed` parses at most
+            one more, by which the caller sees that there are too many.
     """
 
     MAX_MESSAGES_AT_ONCE = 1
@@ -178,7 +178,7 @@
         """Add the message to the complete messages, and keep no reference to it.
 
         Raises:
-            _MessageLimitReachedError: As many messages are complete as the reader parses at once.
+            _MessageLimitReachedError: More messages are complete than may be at once.
         """
         message = self._message
         message.body = bytes(self._body)
--- a/http_gateway/net/memory/budget.py
+++ b/http_gateway/net/memory/budget.py
@@ -4,11 +4,11 @@
 
 import logging
 from collections import OrderedDict
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 log = logging.getLogger(__name__)
 
-SMALL_AMOUNT_BYTES = 16 * 1024  # a request without a body takes less, with its state
+SMALL_AMOUNT_BYTES = 16 * 1024  # a request without a body and its state together take less
 LARGE_AMOUNTS_FRACTION = 0.6  # of the limit, up to which larger amounts are reserved
 
 
@@ -42,11 +42,6 @@
         # Ordered by the start of the message.
         self._incomplete: OrderedDict[MessageHolder, int] = OrderedDict()
 
-    @property
-    def limit_bytes(self) -> int:
-        """The memory that the messages may take together."""
-        return self._limit_bytes
-
     @property
     def held_bytes(self) -> int:
         """The memory that the messages take now."""
@@ -62,11 +57,7 @@
         self._limit_bytes = limit_bytes
 
     def reserve(self, amount_bytes: int) -> None:
-        """Count a complete message, or what a request takes beside its message.
-
-        Args:
-            amount_bytes: The memory; a negative amount is released.
-        """
+        """Count a complete message, or what a request takes beside its message."""
         self._reserved_bytes += amount_bytes
 
     def release(self, amount_bytes: int) -> None:
@@ -119,16 +110,34 @@
             holder.evict()
 
 
-class MessageBudgets:
-    """The budgets of one gateway, for each direction one.
+class MessageBudgets(NamedTuple):
+    """The budgets of one gateway, one for each direction.
 
     Attributes:
         requests: Requests that are received, queued or in flight, and those that endpoints do not read.
         responses: Responses that are received, and those that clients do not read.
     """
 
-    __slots__ = ("requests", "responses")
+    requests: MemoryBudget
+    responses: MemoryBudget
 
-    def __init__(self, requests: MemoryBudget, responses: MemoryBudget) -> None:
-        self.requests = requests
-        self.responses = responses
+    @classmethod
+    def create(
+        cls, limit_bytes: int, max_client_connections: int, max_endpoint_connections: int
+    ) -> MessageBudgets:
+        """Return budgets with the same limit.
+
+        Args:
+            limit_bytes: The memory for the messages of each direction.
+            max_client_connections: The number of client connections that may be open.
+            max_endpoint_connections: The number of connections to endpoints that may be open.
+        """
+        return cls(
+            MemoryBudget("requests", limit_bytes, max_client_connections),
+            MemoryBudget("responses", limit_bytes, max_endpoint_connections),
+        )
+
+    def set_limit(self, limit_bytes: int) -> None:
+        """Change the memory for the messages of each direction."""
+        self.requests.set_limit(limit_bytes)
+        self.responses.set_limit(limit_bytes)
--- a/http_gateway/net/memory/plan.py
+++ b/http_gateway/net/memory/plan.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 KIB = 1024
+BYTES_PER_MB = 1_000_000  # the smaller reading of the unit, as limits may be meant in either
 
 # Memory of one open connection, with its socket, transport, protocol and parser. A connect in progress also
 # has a task.
--- a/http_gateway/net/memory/process_memory.py
+++ b/http_gateway/net/memory/process_memory.py
@@ -8,11 +8,12 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from http_gateway.net.memory.plan import BYTES_PER_MB
+
 log = logging.getLogger(__name__)
 
 CHECK_INTERVAL_S = 0.5
 WARNING_FRACTION = 0.9  # of the limit
-BYTES_PER_MB = 1_000_000
 _PAGE_BYTES = resource.getpagesize()
 _STATM = Path("/proc/self/statm")
 
--- a/http_gateway/net/request_dispatcher.py
+++ b/http_gateway/net/request_dispatcher.py
@@ -218,7 +218,7 @@
                 self._fail(event.request_id, HTTPStatus.INTERNAL_SERVER_ERROR)
 
     def _with_time_left(self, event: Event, now_us: int) -> Event:
-        """Return the event with the time that a new request has left when the policy handles it."""
+        """Return the event; that of a new request gets the time until its deadline, as of now."""
         if not isinstance(event, RequestArrived):
             return event
         return event._replace(timeout_us=self._requests[event.request_id].deadline_at_us - now_us)
--- a/http_gateway/policy/load_shedding.py
+++ b/http_gateway/policy/load_shedding.py
@@ -35,7 +35,7 @@
     def __init__(self, over_quota_weight: float, random: Random) -> None:
         self._over_quota_weight = over_quota_weight
         self._random = random
-        self._admitted_fraction = 1.0  # fraction of the offered cost
+        self._admitted_fraction = 1.0  # the part of the offered cost that is admitted
         self._last_signal_at_us = 0
         self._last_admitted_at_us = 0
         self._request_counts: dict[TrafficClass, int] = {}
--- a/http_gateway/service.py
+++ b/http_gateway/service.py
@@ -22,8 +22,8 @@
 from http_gateway.net.frontend.listener import Frontend
 from http_gateway.net.log_rate_limit import BoundedFormatter, LogRateLimiter
 from http_gateway.net.loop_lag import LoopLagMonitor
-from http_gateway.net.memory.budget import MemoryBudget, MessageBudgets
-from http_gateway.net.memory.plan import MemoryPlan, plan_memory
+from http_gateway.net.memory.budget import MessageBudgets
+from http_gateway.net.memory.plan import plan_memory
 from http_gateway.net.memory.process_memory import MemoryMonitor, resident_bytes
 from http_gateway.net.request_dispatcher import RequestDispatcher
 from http_gateway.net.upstream.pool import UpstreamPool
@@ -64,7 +64,9 @@
             config.memory_limit_bytes, resident_bytes(), config.max_descriptors, config.file_bytes
         )
         endpoint_count = len(config.cached_list.entries)
-        budgets = _message_budgets(plan, endpoint_count)
+        budgets = MessageBudgets.create(
+            plan.message_bytes(endpoint_count), plan.max_client_connections, plan.max_endpoint_connections
+        )
         self._config = config
         self._loop = asyncio.get_running_loop()
         self._pool = UpstreamPool(
@@ -165,9 +167,7 @@
     def _update_endpoints(self, endpoint_list: EndpointList) -> None:
         """Apply a list, and take the memory of its endpoints away from the messages."""
         self._dispatcher.update_endpoints(endpoint_list)
-        limit_bytes = self._plan.message_bytes(len(self._directory))
-        self._budgets.requests.set_limit(limit_bytes)
-        self._budgets.responses.set_limit(limit_bytes)
+        self._budgets.set_limit(self._plan.message_bytes(len(self._directory)))
 
     def _describe_usage(self) -> str:
         return (
@@ -209,14 +209,6 @@
             log.warning("connections still open at exit count=%d", len(self._frontend.connections))
 
 
-def _message_budgets(plan: MemoryPlan, endpoint_count: int) -> MessageBudgets:
-    limit_bytes = plan.message_bytes(endpoint_count)
-    return MessageBudgets(
-        MemoryBudget("requests", limit_bytes, plan.max_client_connections),
-        MemoryBudget("responses", limit_bytes, plan.max_endpoint_connections),
-    )
-
-
 async def serve(config: GatewayConfig, early_sighups: Sequence[int] = ()) -> None:
     """Run a gateway until SIGTERM or SIGINT.
 
--- a/tests/integration/test_memory_limit.py
+++ b/tests/integration/test_memory_limit.py
@@ -25,8 +25,10 @@
     start_peers,
     wait_until,
 )
-from tests.support.process_memory import open_descriptors, peak_resident_bytes
+from tests.support.process_memory import BYTES_PER_MB, open_descriptors, peak_resident_bytes
 from tests.support.service import (
+    LEAST_LIMITS,
+    LEAST_MEMORY_MB,
     config_document,
     listening_port,
     readiness_status,
@@ -34,11 +36,7 @@
     write_config,
 )
 
-# The least memory and the most descriptors that the operators' pages name.
-MEMORY_MB = 32
 MAX_DESCRIPTORS = 1024
-BYTES_PER_MB = 1_000_000
-LIMITS = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": MAX_DESCRIPTORS}
 ENDPOINT_COUNT = 13
 MANY_ENDPOINTS = 60  # each gets some eight attempts at once at first
 CROWD_SIZE = 400
@@ -66,7 +64,7 @@
 
     async with start_peers(*[script] * endpoint_count, send_list) as peers:
         endpoints: list[LoopbackPeer] = peers[:-1]
-        document = config_document(peers[-1].port, limits=LIMITS)
+        document = config_document(peers[-1].port, limits=LEAST_LIMITS)
         async with running_service(folder, document, MAX_DESCRIPTORS) as process:
             yield await listening_port(process), process
 
@@ -95,7 +93,7 @@
         print(f"{name}: peak {peak / BYTES_PER_MB:.1f} MB, descriptors {descriptors}")
         print(f"sound clients: {dict(sound.statuses)}, worst latency {sound.worst_latency_s:.3f} s")
         assert process.returncode is None
-        assert peak < MEMORY_MB * BYTES_PER_MB
+        assert peak < LEAST_MEMORY_MB * BYTES_PER_MB
         assert descriptors < MAX_DESCRIPTORS
         assert sound.served_share >= MIN_SERVED_SHARE
 
@@ -111,7 +109,7 @@
             await sound.run(LARGE_SOUND_CLIENTS, DURATION_S, SOUND_INTERVAL_S)
         peak = peak_resident_bytes(process.pid)
         print(f"{name}, large requests: peak {peak / BYTES_PER_MB:.1f} MB, {dict(sound.statuses)}")
-        assert peak < MEMORY_MB * BYTES_PER_MB
+        assert peak < LEAST_MEMORY_MB * BYTES_PER_MB
         assert sound.served_share >= HALF
 
 
@@ -134,7 +132,7 @@
             await sound.run(SOUND_CLIENTS, DURATION_S, SOUND_INTERVAL_S)
         peak = peak_resident_bytes(process.pid)
         print(f"{name}: peak {peak / BYTES_PER_MB:.1f} MB, worst latency {sound.worst_latency_s:.3f} s")
-        assert peak < MEMORY_MB * BYTES_PER_MB
+        assert peak < LEAST_MEMORY_MB * BYTES_PER_MB
         assert sound.served_share >= MIN_SERVED_SHARE
         assert sound.worst_latency_s < LATENCY_OBJECTIVE_S
 
@@ -173,7 +171,7 @@
         peak = peak_resident_bytes(process.pid)
         print(f"{name}: peak {peak / BYTES_PER_MB:.1f} MB, sound clients: {dict(sound.statuses)}")
         assert process.returncode is None
-        assert peak < MEMORY_MB * BYTES_PER_MB
+        assert peak < LEAST_MEMORY_MB * BYTES_PER_MB
         assert sound.statuses[200] > 0
 
 
@@ -207,7 +205,7 @@
     scripts = [sound_script] * 11 + [spoilt_script] * 2
     async with start_peers(*scripts, send_lists) as peers:
         endpoints = peers[:-1]
-        document = config_document(peers[-1].port, limits=LIMITS)
+        document = config_document(peers[-1].port, limits=LEAST_LIMITS)
         async with running_service(tmp_path, document, MAX_DESCRIPTORS) as process:
             port = await listening_port(process)
             sound = SoundClients(port)
@@ -218,7 +216,7 @@
             peak = peak_resident_bytes(process.pid)
             print(f"everything: peak {peak / BYTES_PER_MB:.1f} MB, {dict(sound.statuses)}")
             assert process.returncode is None
-            assert peak < MEMORY_MB * BYTES_PER_MB
+            assert peak < LEAST_MEMORY_MB * BYTES_PER_MB
             assert sound.served_share >= HALF
 
 
@@ -244,13 +242,15 @@
 
     async with (
         start_peers(respond_with(), send_lists) as (endpoint, discovery),
-        running_service(tmp_path, config_document(discovery.port, limits=LIMITS), MAX_DESCRIPTORS) as process,
+        running_service(
+            tmp_path, config_document(discovery.port, limits=LEAST_LIMITS), MAX_DESCRIPTORS
+        ) as process,
     ):
         port = await listening_port(process)
         await wait_until(lambda: len(discovery.requests) > 30)
         peak = peak_resident_bytes(process.pid)
         print(f"lists: peak {peak / BYTES_PER_MB:.1f} MB")
-        assert peak < MEMORY_MB * BYTES_PER_MB
+        assert peak < LEAST_MEMORY_MB * BYTES_PER_MB
         assert await readiness_status(port) == 200
 
 
@@ -269,7 +269,7 @@
         peak = peak_resident_bytes(process.pid)
         print(f"signals: peak {peak / BYTES_PER_MB:.1f} MB, worst latency {sound.worst_latency_s:.3f} s")
         assert process.returncode is None
-        assert peak < MEMORY_MB * BYTES_PER_MB
+        assert peak < LEAST_MEMORY_MB * BYTES_PER_MB
         assert sound.served_share >= MIN_SERVED_SHARE
         assert sound.worst_latency_s < LATENCY_OBJECTIVE_S
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from tests.soak.run import SoakResult, run_soak
-from tests.soak.world import BYTES_PER_MB
+from tests.support.process_memory import BYTES_PER_MB
 from tests.support.syscall_faults import build_library
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -19,8 +19,15 @@
 from tests.soak.history import AttemptRecord, Effect, History, RequestEnd, RequestRecord
 from tests.support.discovery import WATCH_HEAD, chunk, list_document
 from tests.support.loopback import LoopbackClient, LoopbackPeer, abort_with_reset
-from tests.support.process_memory import peak_resident_bytes
-from tests.support.service import config_document, free_port, listening_port, running_service
+from tests.support.process_memory import BYTES_PER_MB, peak_resident_bytes
+from tests.support.service import (
+    LEAST_LIMITS,
+    LEAST_MEMORY_MB,
+    config_document,
+    free_port,
+    listening_port,
+    running_service,
+)
 
 GATEWAYS = ("n0", "n1", "n2")
 ENDPOINT_COUNT = 5
@@ -34,9 +41,6 @@
 SIGKILL_AFTER_S = LONGEST_TIMEOUT_S + 0.7
 HEARTBEAT_S = 0.005
 MEMORY_CHECK_INTERVAL_S = 0.1
-MEMORY_MB = 32  # the least that the operators' pages name
-BYTES_PER_MB = 1_000_000
-LIMITS = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024}
 WATCH_HEARTBEAT_S = 2.0
 CLASS_NAMES = {Effect.IDEMPOTENT: "page-read", Effect.KEYED: "order-add", Effect.AT_MOST_ONCE: "chapter-buy"}
 SETTINGS: dict[str, Any] = {
@@ -217,7 +221,7 @@
                 name=self.name,
                 listen=f"127.0.0.1:{self.port}",
                 settings=SETTINGS,
-                limits=LIMITS,
+                limits=LEAST_LIMITS,
             )
             async with running_service(self._folder, config, 0, **self._faults) as process:
                 await listening_port(process)
@@ -254,7 +258,7 @@
         while process.returncode is None:
             with contextlib.suppress(OSError, ValueError):  # the process has just ended
                 self.peak_bytes = max(self.peak_bytes, peak_resident_bytes(process.pid))
-            if self.peak_bytes > MEMORY_MB * BYTES_PER_MB:
+            if self.peak_bytes > LEAST_MEMORY_MB * BYTES_PER_MB:
                 self.faults_seen.append(f"memory: {self.name}: {self.peak_bytes} bytes")
                 return
             await asyncio.sleep(MEMORY_CHECK_INTERVAL_S)
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -92,27 +92,35 @@
 
 async def send_valid_requests(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Send small requests under ever new names, one as soon as the one before is answered."""
-    while True:
-        name = str(next(_NAMES))
-        headers = {"X-Tenant": f"t{name}", "X-Key": f"k{name}", "X-Deadline": "9.9"}
-        writer.write(request_bytes(headers=headers))
-        if not await reader.read(READ_CHUNK_BYTES):
-            return
+
+    def next_request() -> bytes:
+        name = next(_NAMES)
+        return request_bytes(headers={"X-Tenant": f"t{name}", "X-Key": f"k{name}", "X-Deadline": "9.9"})
+
+    await _send_in_turn(reader, writer, next_request)
 
 
 async def send_up_checks(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Send health checks, one as soon as the one before is answered."""
-    while True:
-        writer.write(b"GET /up HTTP/1.1\r\n\r\n")
-        if not await reader.read(READ_CHUNK_BYTES):
-            return
+    await _send_in_turn(reader, writer, lambda: b"GET /up HTTP/1.1\r\n\r\n")
 
 
 async def send_unknown_classes(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Send requests of classes that do not exist, under ever new names."""
-    while True:
+
+    def next_request() -> bytes:
         name = next(_NAMES)
-        writer.write(b"GET /class%d HTTP/1.1\r\nX-Request-Id: %d\r\n\r\n" % (name, name))
+        return b"GET /class%d HTTP/1.1\r\nX-Request-Id: %d\r\n\r\n" % (name, name)
+
+    await _send_in_turn(reader, writer, next_request)
+
+
+async def _send_in_turn(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, next_request: Callable[[], bytes]
+) -> None:
+    """Send a request as soon as the one before is answered, until the connection is closed."""
+    while True:
+        writer.write(next_request())
         if not await reader.read(READ_CHUNK_BYTES):
             return
 
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -19,7 +19,7 @@
 from http_gateway.net.http.messages import Message
 from http_gateway.net.http.reader import RequestReader, ResponseReader
 from http_gateway.net.http.writer import write_response
-from http_gateway.net.memory.budget import MemoryBudget, MessageBudgets
+from http_gateway.net.memory.budget import MessageBudgets
 from http_gateway.net.request_dispatcher import RequestDispatcher
 from http_gateway.net.upstream.pool import UpstreamPool
 from http_gateway.policy.balancer import Balancer
@@ -332,14 +332,6 @@
             client.close()
 
 
-def message_budgets(limit_bytes: int, max_connections: int) -> MessageBudgets:
-    """Return budgets of requests and responses with the same limit."""
-    return MessageBudgets(
-        MemoryBudget("requests", limit_bytes, max_connections),
-        MemoryBudget("responses", limit_bytes, max_connections),
-    )
-
-
 @asynccontextmanager
 async def running_gateway(
     *entries: EndpointEntry,
@@ -362,7 +354,7 @@
     Yields:
         The running gateway, which accepts no further connections after the context ends.
     """
-    budgets = message_budgets(max_message_bytes, max_connections)
+    budgets = MessageBudgets.create(max_message_bytes, max_connections, max_connections)
     pool = UpstreamPool(connect_timeout_s, idle_timeout_s, max_connections, budgets)
     balancer = Balancer(settings, seed=1)
     dispatcher = RequestDispatcher(
--- a/tests/support/process_memory.py
+++ b/tests/support/process_memory.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 BYTES_PER_KIB = 1024
+BYTES_PER_MB = 1_000_000
 
 
 def resident_bytes(process_id: int) -> int:
--- a/tests/support/service.py
+++ b/tests/support/service.py
@@ -22,6 +22,9 @@
     ],
     "permissions": {"cancelling": True, "connIdle": 60000000, "dialTimeout": 200000, "maxAttempts": 5},
 }
+# The least memory and the most descriptors that the operators' pages name.
+LEAST_MEMORY_MB = 32
+LEAST_LIMITS = {"cores": 1.0, "memory_mb": LEAST_MEMORY_MB, "sockets": 1024}
 INVALID_DISCOVERY_ADDRESSES = [
     "",
     "127.0.0.1",
--- a/tests/support/upstream.py
+++ b/tests/support/upstream.py
@@ -12,12 +12,13 @@
 
 from http_gateway.net.discovery.endpoint_list import EndpointEntry, endpoint_id
 from http_gateway.net.http.messages import Message
+from http_gateway.net.memory.budget import MessageBudgets
 from http_gateway.net.request_dispatcher import RequestDispatcher
 from http_gateway.net.upstream.attempt import UpstreamAttempt
 from http_gateway.net.upstream.pool import UpstreamPool
 from http_gateway.policy.endpoint import Endpoint, EndpointId, EndpointState
 from http_gateway.policy.events import Outcome, RequestId
-from tests.support.loopback import DEFAULT_MESSAGE_BYTES, LoopbackPeer, message_budgets, wait_until
+from tests.support.loopback import DEFAULT_MESSAGE_BYTES, LoopbackPeer, wait_until
 
 ENDPOINT_ID = endpoint_id("s-0")
 ATTEMPT_TIMEOUT_S = 30.0
@@ -57,7 +58,7 @@
         max_connections: int = 10,
         connect_timeout_s: float = 1.0,
     ) -> None:
-        budgets = message_budgets(DEFAULT_MESSAGE_BYTES, max_connections)
+        budgets = MessageBudgets.create(DEFAULT_MESSAGE_BYTES, max_connections, max_connections)
         self.pool = UpstreamPool(connect_timeout_s, idle_timeout_s, max_connections, budgets)
         self.ends: list[AttemptEnd] = []
         self.is_client_waiting = True
--- a/tests/unit/net/test_memory_plan.py
+++ b/tests/unit/net/test_memory_plan.py
@@ -16,8 +16,8 @@
     MemoryPlan,
     plan_memory,
 )
+from tests.support.process_memory import BYTES_PER_MB
 
-BYTES_PER_MB = 1_000_000
 RESIDENT_BYTES = 19_600_000
 MAX_DESCRIPTORS = 1024
 ENDPOINTS = 15
