--- a/review/standins2/discovery.py
+++ b/review/standins2/discovery.py
@@ -14,7 +14,6 @@
 from standins2.record import Record
 
 LINE_INTERVAL_S = 2.0  # PROTOCOL: as long as nothing changes, an empty line arrives every 2 s
-REJECTION = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -83,10 +82,10 @@
 
 
 class Discovery:
-    """Serves a catalog; may refuse calls, and may let its open watches fall silent.
+    """Serves a catalog; may answer calls late, and may let its open watches fall silent.
 
     Attributes:
-        refuses: Whether calls are refused, since the service is crowded.
+        answer_after_s: How long a call waits in turn before it is answered.
         told_at_s: For each revision, the times at which it was written to a watch.
         watches: The open watches.
     """
@@ -97,7 +96,7 @@
         self._record = record
         self._server: asyncio.Server | None = None
         self._call_count = 0
-        self.refuses = False
+        self.answer_after_s = 0.0
         self.watches: list[_Watch] = []
         self.told_at_s: list[tuple[float, int, int]] = []
 
@@ -164,11 +163,11 @@
                 serial = self._call_count
                 found = re.search(rb"[?&]from=(\d+)", head)
                 revision = int(found.group(1)) if found else 0
-                if self.refuses:
-                    self._record.add(f"{self._name}: call {serial} from={revision} is refused (503)")
-                    writer.write(REJECTION)
-                    await writer.drain()
-                    continue
+                self._record.add(f"{self._name}: call {serial} from={revision} begins")
+                await asyncio.sleep(self.answer_after_s)
+                if reader.at_eof():
+                    self._record.add(f"{self._name}: call {serial} was given up before its answer")
+                    break
                 await self._watch(_Watch(writer, revision, serial))
         writer.close()
 
