Follow each change of the endpoint list instead of recomputing all weights

Cause: EndpointSet._update_weights computed the capacity fractions, the zone weights, the hash-sorted subset and the slow start estimates of all endpoints for each change of the list, and again every 100 ms while an endpoint warmed up. OutlierDetector counted the open breakers of all endpoints at each failure.

Change: CapacityTotals keeps counts and sums by zone and machine type. All sums are integers, so they do not drift; an endpoint that warms up is found by its start time. Subset keeps the endpoints in order and inserts by bisection. RelativeDemand and the zone weights are computed from the totals when a request needs them. The breakers count themselves while they are open.

The tests of slow start and zone weights now make their states from endpoints, since the functions that took made-up capacity fractions are gone; what they assert is the same. In test_relative_demand_of_an_endpoint... the subset is now the real one, so the demand is divided by its number of slices. test_policy_module_is_pure allows bisect, which reads no clock and does no I/O.

--- a/http_gateway/policy/balancer.py
+++ b/http_gateway/policy/balancer.py
@@ -34,7 +34,6 @@
 from http_gateway.policy.pending_request import Attempt, PendingRequest
 from http_gateway.policy.retry_policy import RetryPolicy, may_shed, retry_deadline_us
 from http_gateway.policy.settings import RequestClass, Settings
-from http_gateway.policy.slow_start import SlowStart
 from http_gateway.policy.tenant_quota import TenantQuotas
 from http_gateway.policy.time_units import US_PER_S
 from http_gateway.policy.tracked_endpoint import TrackedEndpoint
@@ -69,8 +68,8 @@
         self._quotas = TenantQuotas(settings.tenant_quotas_per_s)
         self._shedder = LoadShedder(settings.over_quota_weight, self._random)
         self._retries = RetryPolicy(settings)
-        self._slow_start = SlowStart(settings, self._random)
-        self._endpoints = EndpointSet(settings, self._random, self._slow_start)
+        self._endpoints = EndpointSet(settings, self._random)
+        self._slow_start = self._endpoints.slow_start
         self._selector = EndpointSelector(
             settings, self._random, self._endpoints, self._slow_start, self._latency
         )
--- a/http_gateway/policy/circuit_breaker.py
+++ b/http_gateway/policy/circuit_breaker.py
@@ -5,6 +5,7 @@
 from collections import deque
 from random import Random
 
+from http_gateway.policy.open_breakers import OpenBreakerCount
 from http_gateway.policy.time_units import US_PER_S
 
 FAILURE_WINDOW_US = 60 * US_PER_S  # A failure stops counting after this time.
@@ -25,10 +26,18 @@
     A closed breaker admits every request. An open breaker admits none until a jittered cooldown ends, which
     makes it half-open. A half-open breaker admits one probe request. If the probe succeeds, the breaker
     closes; if the probe fails, the breaker opens again with twice the cooldown, up to a maximum.
+
+    Args:
+        random: The source of jitter for the cooldowns.
+        open_count: The count in which the breaker is included while it is not closed.
+        max_cooldown_us: The cap of the cooldown in microseconds.
     """
 
-    def __init__(self, random: Random, max_cooldown_us: int = MAX_COOLDOWN_US) -> None:
+    def __init__(
+        self, random: Random, open_count: OpenBreakerCount, max_cooldown_us: int = MAX_COOLDOWN_US
+    ) -> None:
         self._random = random
+        self._open_count = open_count
         self._max_cooldown_us = max_cooldown_us
         self._cooldown_us = BASE_COOLDOWN_US
         self._failures_at_us: deque[int] = deque()
@@ -76,12 +85,21 @@
             if len(self._failures_at_us) >= FAILURE_THRESHOLD:
                 self._open(now_us)
 
+    def stop_counting(self) -> None:
+        """Take the breaker out of the count, as its endpoint has left the list and it is no longer used."""
+        if not self.is_closed:
+            self._open_count.closed()
+
     def _open(self, now_us: int) -> None:
+        if self.is_closed:
+            self._open_count.opened()
         jitter = self._random.uniform(1 - COOLDOWN_JITTER, 1 + COOLDOWN_JITTER)
         self._probe_in_flight = False
         self._half_open_at_us = now_us + round(self._cooldown_us * jitter)
 
     def _close(self) -> None:
+        if not self.is_closed:
+            self._open_count.closed()
         self._half_open_at_us = None
         self._probe_in_flight = False
 
@@ -98,8 +116,8 @@
     caller therefore limits how many of them are open at the same time.
     """
 
-    def __init__(self, random: Random) -> None:
-        super().__init__(random, MAX_CLASS_COOLDOWN_US)
+    def __init__(self, random: Random, open_count: OpenBreakerCount) -> None:
+        super().__init__(random, open_count, MAX_CLASS_COOLDOWN_US)
         self._successes_since_clearing = 0  # successes since a failure was last cleared
         self._consecutive_unanswered = 0
         self.last_response_at_us = 0
--- a/http_gateway/policy/endpoint_selection.py
+++ b/http_gateway/policy/endpoint_selection.py
@@ -83,7 +83,7 @@
             if len(local) >= CHOICE_COUNT:
                 yield from self._shuffled(local)
         yield from self._shuffled(members)
-        yield from self._endpoints.subset.fallbacks
+        yield from self._endpoints.subset.fallbacks()
 
     def _shuffled(self, endpoints: list[TrackedEndpoint]) -> Iterator[TrackedEndpoint]:
         """Shuffle a list in place, one element for each step of the iteration.
--- a/http_gateway/policy/endpoint_set.py
+++ b/http_gateway/policy/endpoint_set.py
@@ -2,50 +2,68 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
-from collections.abc import Collection, Mapping
+from collections.abc import Mapping
 from random import Random
 
+from http_gateway.policy.capacity_totals import CapacityTotals
 from http_gateway.policy.endpoint import Endpoint, EndpointId, EndpointState
 from http_gateway.policy.events import EndpointListUpdate, ListUpdateKind
+from http_gateway.policy.open_breakers import OpenBreakerCounts
 from http_gateway.policy.pending_request import Attempt
 from http_gateway.policy.settings import Settings
 from http_gateway.policy.slow_start import SlowStart
-from http_gateway.policy.subsetting import Subset, choose_subset
+from http_gateway.policy.subsetting import Subset
 from http_gateway.policy.time_units import US_PER_S
 from http_gateway.policy.tracked_endpoint import TrackedEndpoint
 from http_gateway.policy.zone_weights import zone_weights
 
-# While an endpoint is warming up its capacity grows, so the weights are recomputed at this interval.
-# Recomputing them at each request would take too much processor time.
+# While an endpoint is warming up its capacity grows, so the weights are brought up to date at this interval.
 WEIGHTS_UPDATE_INTERVAL_US = US_PER_S // 10
 
 
 class EndpointSet:
-    """The ready endpoints, and how this gateway's work is divided among them."""
+    """The ready endpoints, and how this gateway's work is divided among them.
 
-    def __init__(self, settings: Settings, random: Random, slow_start: SlowStart) -> None:
+    Args:
+        settings: The settings of the gateway.
+        random: The source of random numbers for slow start and for the circuit breakers.
+    """
+
+    def __init__(self, settings: Settings, random: Random) -> None:
         self._settings = settings
         self._random = random
-        self._slow_start = slow_start
         self._endpoints: dict[EndpointId, TrackedEndpoint] = {}
-        self._subset = Subset([], [], 1)
-        self._zone_weights: dict[str, float] = {}
+        self._totals = CapacityTotals(settings)
+        self._subset = Subset(settings, self._endpoints)
+        self._slow_start = SlowStart(settings, random, self._totals, self._subset)
+        self._open_breakers = OpenBreakerCounts()
+        self._zone_weights: dict[str, float] | None = None  # None until they are needed after a change
         self._weights_updated_at_us: int | None = None  # None while all endpoints are warm
 
-    @property
-    def all(self) -> Collection[TrackedEndpoint]:
-        """All ready endpoints."""
-        return self._endpoints.values()
+    def __len__(self) -> int:
+        """Return the number of ready endpoints."""
+        return len(self._endpoints)
 
     @property
     def subset(self) -> Subset:
-        """The subset that this gateway normally sends to, and the other endpoints."""
+        """The subset that this gateway normally sends to."""
         return self._subset
 
+    @property
+    def slow_start(self) -> SlowStart:
+        """The limits of the endpoints that are warming up."""
+        return self._slow_start
+
+    @property
+    def open_breakers(self) -> OpenBreakerCounts:
+        """The numbers of open circuit breakers of the ready endpoints."""
+        return self._open_breakers
+
     @property
     def zone_weights(self) -> Mapping[str, float]:
         """The fraction of this gateway's work that is intended for one unit of capacity in each zone."""
+        if self._zone_weights is None:
+            self._zone_weights = zone_weights(self._totals.capacity_by_zone(), self._settings)
         return self._zone_weights
 
     def get(self, endpoint_id: EndpointId) -> TrackedEndpoint | None:
@@ -78,61 +96,69 @@
             update: A delta, or a full list, which removes all endpoints that it does not contain.
             now_us: The current time in microseconds.
         """
+        self._totals.advance(now_us)
         entries = {endpoint.id: endpoint for endpoint in update.endpoints}
+        unlisted: list[EndpointId] = []
         if update.kind is not ListUpdateKind.DELTA:
-            self._endpoints = {
-                endpoint_id: tracked
-                for endpoint_id, tracked in self._endpoints.items()
-                if endpoint_id in entries
-            }
+            unlisted = [endpoint_id for endpoint_id in self._endpoints if endpoint_id not in entries]
+        removed = [self._remove(endpoint_id) for endpoint_id in unlisted]
+        added: list[TrackedEndpoint] = []
         for endpoint in entries.values():
-            self._apply_entry(endpoint, now_us)
-        self._update_weights(now_us)
+            tracked = self._endpoints.get(endpoint.id)
+            is_ready = endpoint.state is EndpointState.READY
+            if tracked is not None and is_ready and _is_same_start(tracked.endpoint, endpoint):
+                self._update(tracked, endpoint)
+                continue
+            if tracked is not None:
+                removed.append(self._remove(endpoint.id))
+            if is_ready:
+                added.append(self._add(endpoint, now_us))
+        self._subset.update(removed, added)
+        self._on_totals_changed(now_us)
 
     def update_weights_if_due(self, now_us: int) -> None:
-        """Recompute the weights if an endpoint is warming up and the update interval has passed."""
+        """Bring the weights up to date if an endpoint is warming up and the update interval has passed."""
         if (
             self._weights_updated_at_us is not None
             and now_us >= self._weights_updated_at_us + WEIGHTS_UPDATE_INTERVAL_US
         ):
-            self._update_weights(now_us)
-
-    def _apply_entry(self, endpoint: Endpoint, now_us: int) -> None:
-        """Add, update or remove one endpoint; a changed start time means that the endpoint has restarted."""
-        tracked = self._endpoints.get(endpoint.id)
-        if endpoint.state is not EndpointState.READY:
-            self._endpoints.pop(endpoint.id, None)
-        elif tracked is None or tracked.endpoint.started_at_us != endpoint.started_at_us:
-            bucket = self._slow_start.new_bucket(now_us)
-            self._endpoints[endpoint.id] = TrackedEndpoint.create(
-                endpoint, self._random, bucket, self._settings.gateway_count
-            )
-        else:
-            tracked.update(endpoint)
-
-    def _update_weights(self, now_us: int) -> None:
-        """Recompute the zone weights, the subset and the estimates of slow start."""
-        capacity_fractions = {
-            tracked: self._slow_start.capacity_fraction(tracked.endpoint, now_us)
-            for tracked in self._endpoints.values()
-        }
-        self._zone_weights = zone_weights(capacity_by_zone(capacity_fractions), self._settings)
-        self._subset = choose_subset(self._endpoints.values(), self._settings)
-        self._slow_start.update(capacity_fractions, self._subset, now_us)
-        all_warm = min(capacity_fractions.values(), default=1) == 1
-        self._weights_updated_at_us = None if all_warm else now_us
-
-
-def capacity_by_zone(capacity_fractions: Mapping[TrackedEndpoint, float]) -> dict[str, float]:
-    """Return the total capacity of each zone, in units of one warm endpoint.
+            self._totals.advance(now_us)
+            self._subset.restart_shuffle()
+            self._on_totals_changed(now_us)
+
+    def _add(self, endpoint: Endpoint, now_us: int) -> TrackedEndpoint:
+        """Add an endpoint that is new or has restarted."""
+        tracked = TrackedEndpoint.create(
+            endpoint,
+            self._random,
+            self._slow_start.new_bucket(now_us),
+            self._open_breakers,
+            self._settings.gateway_count,
+        )
+        self._endpoints[endpoint.id] = tracked
+        self._totals.add(endpoint)
+        return tracked
 
-    Args:
-        capacity_fractions: The fraction of its full capacity that each endpoint has now.
+    def _remove(self, endpoint_id: EndpointId) -> TrackedEndpoint:
+        tracked = self._endpoints.pop(endpoint_id)
+        self._totals.remove(tracked.endpoint)
+        tracked.stop_counting_breakers()
+        return tracked
 
-    Returns:
-        The capacity by zone name.
-    """
-    capacity: defaultdict[str, float] = defaultdict(float)
-    for tracked, fraction in capacity_fractions.items():
-        capacity[tracked.endpoint.zone] += fraction
-    return capacity
+    def _update(self, tracked: TrackedEndpoint, endpoint: Endpoint) -> None:
+        """Replace the description of an endpoint that has not restarted."""
+        if tracked.endpoint == endpoint:
+            return
+        self._totals.remove(tracked.endpoint)
+        self._totals.add(endpoint)
+        tracked.update(endpoint)
+
+    def _on_totals_changed(self, now_us: int) -> None:
+        self._slow_start.update(now_us)
+        self._zone_weights = None
+        self._weights_updated_at_us = None if self._totals.all_warm else now_us
+
+
+def _is_same_start(known: Endpoint, listed: Endpoint) -> bool:
+    """Return whether two entries describe the same start; another start time means that it has restarted."""
+    return known.started_at_us == listed.started_at_us
--- a/http_gateway/policy/outlier_detection.py
+++ b/http_gateway/policy/outlier_detection.py
@@ -89,17 +89,16 @@
         return class_breaker.last_response_at_us < attempt.started_at_us
 
     def _record_failure(self, tracked: TrackedEndpoint, attempt: Attempt, now_us: int) -> None:
-        endpoints = self._endpoints.all
-        open_breakers = sum(not other.breaker.is_closed for other in endpoints)
-        if attempt.is_probe or open_breakers < MAX_OPEN_FRACTION * len(endpoints):
+        open_count = self._endpoints.open_breakers.endpoints.value
+        if attempt.is_probe or open_count < MAX_OPEN_FRACTION * len(self._endpoints):
             tracked.breaker.record_failure(now_us, attempt.is_probe)
 
     def _record_class_failure(
         self, tracked: TrackedEndpoint, pending: PendingRequest, attempt: Attempt, now_us: int
     ) -> None:
-        request_class, endpoints = pending.request_class, self._endpoints.all
-        open_breakers = sum(not other.class_breaker(request_class).is_closed for other in endpoints)
-        if not attempt.is_class_probe and open_breakers >= MAX_CLASS_OPEN_FRACTION * len(endpoints):
+        request_class = pending.request_class
+        open_count = self._endpoints.open_breakers.of_class(request_class.name).value
+        if not attempt.is_class_probe and open_count >= MAX_CLASS_OPEN_FRACTION * len(self._endpoints):
             return
         breaker = tracked.class_breaker(request_class)
         if attempt.outcome in CLASS_FAILURE_OUTCOMES:
--- a/http_gateway/policy/slow_start.py
+++ b/http_gateway/policy/slow_start.py
@@ -52,17 +52,16 @@
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
-from collections.abc import Mapping
 from random import Random
 
+from http_gateway.policy.capacity_totals import CapacityTotals, WarmUpStage, warm_up_stage
 from http_gateway.policy.endpoint import Endpoint
+from http_gateway.policy.relative_demand import RelativeDemand
 from http_gateway.policy.settings import Settings
 from http_gateway.policy.subsetting import Subset
 from http_gateway.policy.throughput_estimate import RATE_TIME_CONSTANT_US, MachineTypeThroughput
 from http_gateway.policy.token_bucket import WarmUpBucket
 from http_gateway.policy.tracked_endpoint import TrackedEndpoint
-from http_gateway.policy.zone_weights import zone_weights
 
 # Maximum fraction of the overload budget of an endpoint that credit for responses may use.
 MAX_CREDIT_FRACTION = 0.625
@@ -72,22 +71,28 @@
 # learn of a new endpoint at about the same time, so the requests that they send at once arrive together.
 INITIAL_BURST_WINDOWS = 0.25
 CREDIT_DECAY_WINDOWS = 0.25  # time constant of the decay of credit, in overload windows
-MAX_PLAUSIBLE_CAPACITY = 1e6  # a listed capacity above this, or below its inverse, is treated as an error
 
 
 class SlowStart:
     """Admits requests to endpoints that are warming up.
 
     It estimates the refill rates of the warm-up buckets from the throughput of the warm endpoints.
+
+    Args:
+        settings: The settings of the gateway.
+        random: The source of the random numbers for admission.
+        totals: The totals over the ready endpoints.
+        subset: The subset of this gateway.
     """
 
-    def __init__(self, settings: Settings, random: Random) -> None:
+    def __init__(self, settings: Settings, random: Random, totals: CapacityTotals, subset: Subset) -> None:
         self._settings = settings
         self._random = random
+        self._totals = totals
+        self._subset = subset
         # Keyed by machine type; only machine types in the endpoint list have an entry.
         self._throughputs: dict[str, MachineTypeThroughput] = {}
-        self._subset_members: frozenset[TrackedEndpoint] = frozenset()
-        self._relative_demand: dict[TrackedEndpoint, float] = {}
+        self._demand = RelativeDemand(settings, totals)
         window_us = settings.overload_window_us
         self._max_burst_us = MAX_BURST_WINDOWS * window_us
         self._credit_decay_us = CREDIT_DECAY_WINDOWS * window_us
@@ -109,49 +114,30 @@
             A fraction that rises linearly over the slow start window from the initial capacity of the
             settings to 1. An endpoint with the fraction 1 is called warm.
         """
-        window_us, started_at_us = self._settings.slow_start_window_us, endpoint.started_at_us
-        if not started_at_us or now_us >= started_at_us + window_us:
+        stage = warm_up_stage(endpoint, self._settings, now_us)
+        if stage is WarmUpStage.WARM:
             return 1.0
         initial = self._settings.initial_capacity
-        return initial + (1 - initial) * max(0, now_us - started_at_us) / window_us
+        if stage is WarmUpStage.NOT_STARTED:
+            return initial
+        age_us = now_us - endpoint.started_at_us
+        return initial + (1 - initial) * age_us / self._settings.slow_start_window_us
 
-    def update(
-        self, capacity_fractions: Mapping[TrackedEndpoint, float], subset: Subset, now_us: int
-    ) -> None:
-        """Recompute the estimates after a change of the endpoint list or of the endpoints' capacities.
+    def update(self, now_us: int) -> None:
+        """Follow a change of the totals: of the endpoint list, or of the endpoints that are warm.
 
         Args:
-            capacity_fractions: All ready endpoints, with the results of `capacity_fraction`.
-            subset: The subset of this gateway.
             now_us: The current time in microseconds.
         """
-        endpoints_per_zone = Counter(tracked.endpoint.zone for tracked in capacity_fractions)
-        weights = zone_weights(endpoints_per_zone, self._settings)
-        # Sums over the endpoints of each machine type.
-        total_capacity: defaultdict[str, float] = defaultdict(float)
-        warm_capacity: defaultdict[str, float] = defaultdict(float)
-        demand: defaultdict[str, float] = defaultdict(float)
-        for tracked, fraction in capacity_fractions.items():
-            endpoint = tracked.endpoint
-            capacity = self._capacity(endpoint)
-            total_capacity[endpoint.machine_type] += capacity
-            warm_capacity[endpoint.machine_type] += capacity if fraction == 1 else 0
-            demand[endpoint.machine_type] += capacity * weights[endpoint.zone]
-        self._subset_members = frozenset(subset.members)
-        self._relative_demand = {
-            tracked: self._capacity(tracked.endpoint)
-            * weights[tracked.endpoint.zone]
-            * total_capacity[tracked.endpoint.machine_type]
-            / demand[tracked.endpoint.machine_type]
-            * subset.slice_count
-            for tracked in capacity_fractions
-        }
-        self._throughputs = {
-            machine_type: self._throughputs.get(machine_type) or MachineTypeThroughput(now_us)
-            for machine_type in total_capacity
-        }
-        for machine_type, throughput in self._throughputs.items():
-            throughput.set_warm_capacity(warm_capacity[machine_type], now_us)
+        for machine_type in self._totals.take_changed_machine_types():
+            warm_capacity = self._totals.warm_capacity(machine_type)
+            if warm_capacity is None:
+                self._throughputs.pop(machine_type, None)
+                continue
+            throughput = self._throughputs.get(machine_type)
+            if throughput is None:
+                throughput = self._throughputs[machine_type] = MachineTypeThroughput(now_us)
+            throughput.set_warm_capacity(warm_capacity, now_us)
 
     def relative_demand(self, tracked: TrackedEndpoint) -> float:
         """Return the work intended for an endpoint if all endpoints were warm, relative to its machine type.
@@ -164,7 +150,7 @@
             With n slices, only one gateway in n has the endpoint in its subset, so each of these gateways
             counts n times. The mean over the capacity of a machine type is therefore the number of slices.
         """
-        return self._relative_demand[tracked]
+        return self._demand.of(tracked.endpoint) * self._subset.slice_count
 
     def new_bucket(self, now_us: int) -> WarmUpBucket:
         """Create the bucket of an endpoint that is new to this gateway."""
@@ -239,19 +225,9 @@
         """
         window_us = max(self._settings.overload_window_us, RATE_TIME_CONSTANT_US)
         minimum = cost_us / window_us / self._settings.gateway_count
-        if tracked not in self._subset_members:
+        if tracked not in self._subset:
             return minimum
         throughput = self._throughputs[tracked.endpoint.machine_type].rate(now_us)
-        warm_rate = throughput * self._relative_demand[tracked]
+        warm_rate = throughput * self.relative_demand(tracked)
         multiple = self._settings.overload_factor * self.capacity_fraction(tracked.endpoint, now_us)
         return minimum + self._refill_ratio * multiple * warm_rate
-
-    def _capacity(self, endpoint: Endpoint) -> float:
-        """Return the capacity of an endpoint relative to others; 1 if no plausible capacity is listed."""
-        weight = endpoint.weight
-        if (
-            self._settings.weights_are_capacities
-            and 1 / MAX_PLAUSIBLE_CAPACITY <= weight <= MAX_PLAUSIBLE_CAPACITY
-        ):
-            return weight
-        return 1.0
--- a/tests/unit/policy/test_circuit_breaker.py
+++ b/tests/unit/policy/test_circuit_breaker.py
@@ -14,6 +14,7 @@
     MAX_COOLDOWN_US,
     CircuitBreaker,
 )
+from http_gateway.policy.open_breakers import OpenBreakerCount
 
 NOW_US = 1_000_000_000
 
@@ -21,7 +22,7 @@
 @pytest.fixture
 def breaker() -> CircuitBreaker:
     """Return a closed breaker."""
-    return CircuitBreaker(Random(1))
+    return CircuitBreaker(Random(1), OpenBreakerCount())
 
 
 def record_failures(breaker: CircuitBreaker, now_us: int, count: int = FAILURE_THRESHOLD) -> None:
@@ -82,7 +83,7 @@
 def test_cooldowns_differ_between_breakers() -> None:
     cooldowns_us = set()
     for seed in range(5):
-        breaker = CircuitBreaker(Random(seed))
+        breaker = CircuitBreaker(Random(seed), OpenBreakerCount())
         record_failures(breaker, NOW_US)
         cooldowns_us.add(cooldown_us(breaker, NOW_US))
     assert len(cooldowns_us) == 5
--- a/tests/unit/policy/test_slow_start.py
+++ b/tests/unit/policy/test_slow_start.py
@@ -4,14 +4,12 @@
 
 from dataclasses import replace
 from math import e
-from random import Random
 
 import pytest
 
 from http_gateway.policy.endpoint import Endpoint, EndpointId
 from http_gateway.policy.events import Outcome, RequestId
 from http_gateway.policy.slow_start import CREDIT_DECAY_WINDOWS, MAX_BURST_WINDOWS, SlowStart
-from http_gateway.policy.subsetting import Subset, choose_subset
 from http_gateway.policy.time_units import US_PER_MS, US_PER_S
 from http_gateway.policy.tracked_endpoint import TrackedEndpoint
 from tests.support.fleet.scenarios import (
@@ -23,6 +21,7 @@
     warm_endpoints,
 )
 from tests.support.policy_driver import PolicyDriver
+from tests.support.slow_starts import slow_start_of
 from tests.support.tracked_endpoints import track
 
 COST_US = 10 * US_PER_MS
@@ -83,9 +82,8 @@
 
 def test_response_earns_credit_that_decays() -> None:
     settings = slow_start_settings(overload_factor=3, overload_window_s=2, slow_start_window_s=1000)
-    slow_start = SlowStart(settings, Random(1))
     (tracked,) = track([Endpoint(1, machine_type="x", started_at_us=1)])
-    slow_start.update({tracked: 0.15}, Subset([tracked], [], 1), 0)
+    slow_start, _ = slow_start_of(settings, [tracked])
     reserved_cost_us = slow_start.reserve(tracked, COST_US, 0)
     assert reserved_cost_us == COST_US
     assert tracked.warm_up_bucket.credit_tokens == 0
@@ -108,7 +106,7 @@
     credit for responses.
     """
     settings = slow_start_settings(overload_factor, overload_window_s, connect_timeout_s)
-    slow_start = SlowStart(settings, Random(1))
+    slow_start, _ = slow_start_of(settings, [])
     refill_time_s = overload_window_s + connect_timeout_s + MAX_BURST_WINDOWS * overload_window_s
     refilled = slow_start._refill_ratio * refill_time_s / overload_window_s
     credited = slow_start._credit_ratio / overload_factor * (1 + CREDIT_DECAY_WINDOWS)
@@ -119,11 +117,10 @@
 
 @pytest.mark.parametrize("weight", [0.0, -1.0, 1e300, -1e300, 1e-300])
 def test_implausible_capacity_counts_as_one(weight: float) -> None:
-    slow_start = SlowStart(slow_start_settings(weights_are_capacities=True), Random(1))
     tracked_endpoints = track(
         [Endpoint(1, machine_type="x", weight=weight), Endpoint(2, machine_type="x", weight=1.0)]
     )
-    slow_start.update(dict.fromkeys(tracked_endpoints, 1.0), Subset(tracked_endpoints, [], 1), 0)
+    slow_start, _ = slow_start_of(slow_start_settings(weights_are_capacities=True), tracked_endpoints)
     assert [slow_start.relative_demand(tracked) for tracked in tracked_endpoints] == [1.0, 1.0]
 
 
@@ -154,22 +151,26 @@
 
 
 def test_endpoint_outside_the_subset_gets_one_request_each_window_from_all_gateways() -> None:
-    gateway_count, duration_s = 10, 400
+    gateway_count, duration_s = 40, 1600
     settings = replace(slow_start_settings(slow_start_window_s=10_000), gateway_count=gateway_count)
-    slow_start = SlowStart(settings, Random(1))
-    warm, member, fallback = track(
+    # Two slices of four endpoints; the first ones are warm.
+    tracked_endpoints = track(
         [
             *UNIFORM_ENDPOINTS[:1],
-            *(Endpoint(endpoint_id, machine_type="x", started_at_us=1) for endpoint_id in (2, 3)),
+            *(Endpoint(endpoint_id, machine_type="x", started_at_us=1) for endpoint_id in range(101, 108)),
         ]
     )
-    slow_start.update({warm: 1.0, member: 0.15, fallback: 0.15}, Subset([warm, member], [fallback], 1), 0)
+    warm = tracked_endpoints[0]
+    slow_start, subset = slow_start_of(settings, tracked_endpoints)
+    member = next(tracked for tracked in subset.members if tracked is not warm)
+    fallback = next(tracked for tracked in subset.fallbacks() if tracked is not warm)
+    assert subset.slice_count == 2
     record_responses(slow_start, warm, 0, 20)
     expected = duration_s * US_PER_S / settings.overload_window_us / gateway_count
     admitted = admitted_count(slow_start, fallback, 20, duration_s)
     assert 0.4 * expected < admitted < 1.7 * expected
-    record_responses(slow_start, warm, 400, 20)
-    assert admitted_count(slow_start, member, 420, 2) > 10
+    record_responses(slow_start, warm, 20 + duration_s, 20)
+    assert admitted_count(slow_start, member, 40 + duration_s, 2) > 10
 
 
 @pytest.mark.parametrize("warm_zones", [set(), {"a"}, {"b"}, {"c", "d"}, {"a", "b", "c", "d"}])
@@ -192,13 +193,11 @@
         gateway_count=gateway_count,
         zone="a",
     )
-    slow_start = SlowStart(settings, Random(1))
-    tracked_endpoints = track(warm_endpoints(shapes))
-    capacity_fractions = {
-        tracked: 1.0 if tracked.endpoint.zone in warm_zones else 0.15 for tracked in tracked_endpoints
-    }
-    subset = choose_subset(tracked_endpoints, settings)
-    slow_start.update(capacity_fractions, subset, 0)
+    tracked_endpoints = track(
+        replace(endpoint, started_at_us=0 if endpoint.zone in warm_zones else 1)
+        for endpoint in warm_endpoints(shapes)
+    )
+    slow_start, subset = slow_start_of(settings, tracked_endpoints)
     for machine_type in "xy":
         of_type = [tracked for tracked in tracked_endpoints if tracked.endpoint.machine_type == machine_type]
         capacity = sum(tracked.endpoint.weight if weights_are_capacities else 1.0 for tracked in of_type)
@@ -209,15 +208,14 @@
 @pytest.mark.parametrize("cross_zone_cost", [0.0, CROSS_ZONE_COST])
 def test_relative_demand_of_an_endpoint_has_a_mean_of_one_over_all_gateways(cross_zone_cost: float) -> None:
     """This holds if all zones have the same endpoints, also while one of the zones is warming up."""
-    tracked_endpoints = track(FOUR_ZONE_ENDPOINTS)
-    capacity_fractions = {
-        tracked: 0.15 if tracked.endpoint.zone == "a" else 1.0 for tracked in tracked_endpoints
-    }
+    tracked_endpoints = track(
+        replace(endpoint, started_at_us=1 if endpoint.zone == "a" else 0) for endpoint in FOUR_ZONE_ENDPOINTS
+    )
     mean_demand = dict.fromkeys(tracked_endpoints, 0.0)
     for zone in "abcd":
         settings = replace(slow_start_settings(cross_zone_cost=cross_zone_cost), gateway_count=40, zone=zone)
-        slow_start = SlowStart(settings, Random(1))
-        slow_start.update(capacity_fractions, Subset(tracked_endpoints, [], 1), 0)
+        slow_start, subset = slow_start_of(settings, tracked_endpoints)
         for tracked in tracked_endpoints:
-            mean_demand[tracked] += slow_start.relative_demand(tracked) / 4
+            # One gateway in `slice_count` has the endpoint in its subset.
+            mean_demand[tracked] += slow_start.relative_demand(tracked) / subset.slice_count / 4
     assert list(mean_demand.values()) == pytest.approx([1.0] * len(tracked_endpoints))
--- a/tests/unit/policy/test_zone_weights.py
+++ b/tests/unit/policy/test_zone_weights.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 
+from http_gateway.policy.capacity_totals import CapacityTotals
 from http_gateway.policy.endpoint import Endpoint
-from http_gateway.policy.endpoint_set import capacity_by_zone
 from http_gateway.policy.settings import Settings
-from http_gateway.policy.time_units import US_PER_MS
-from http_gateway.policy.tracked_endpoint import TrackedEndpoint
+from http_gateway.policy.time_units import US_PER_MS, US_PER_S
 from http_gateway.policy.zone_weights import zone_weights
 from tests.support.policy_driver import CLASSES, PolicyDriver
-from tests.support.tracked_endpoints import track
 
+NOW_US = 1000 * US_PER_S
 ENDPOINTS_PER_ZONE = [(10, 10, 10), (5, 10, 15), (27, 20, 13), (1, 1, 40)]
 
 
@@ -38,16 +38,24 @@
 def test_weights_summed_over_all_gateway_zones_are_equal_for_each_unit_of_capacity(
     endpoints_per_zone: tuple[int, ...], capacity_fraction: float
 ) -> None:
-    tracked_endpoints = track(zoned_endpoints(endpoints_per_zone))
-    capacity_fractions = {
-        tracked: capacity_fraction if tracked.endpoint.zone == "b" else 1.0 for tracked in tracked_endpoints
-    }
-    total_weight = Counter[TrackedEndpoint]()
+    endpoints = [
+        replace(endpoint, started_at_us=NOW_US if endpoint.zone == "b" else 0)
+        for endpoint in zoned_endpoints(endpoints_per_zone)
+    ]
+    total_weight = Counter[Endpoint]()
     for zone in "abc":
-        weights = zone_weights(capacity_by_zone(capacity_fractions), zone_settings(zone))
-        weight_of = {tracked: weights[tracked.endpoint.zone] for tracked in tracked_endpoints}
+        settings = replace(
+            zone_settings(zone), initial_capacity=capacity_fraction, slow_start_window_us=US_PER_S
+        )
+        totals = CapacityTotals(settings)
+        totals.advance(NOW_US)
+        for endpoint in endpoints:
+            totals.add(endpoint)
+        weights = zone_weights(totals.capacity_by_zone(), settings)
+        weight_of = {endpoint: weights[endpoint.zone] for endpoint in endpoints}
         assert sum(
-            weight_of[tracked] * capacity_fractions[tracked] for tracked in tracked_endpoints
+            weight_of[endpoint] * (capacity_fraction if endpoint.zone == "b" else 1.0)
+            for endpoint in endpoints
         ) == pytest.approx(1)
         total_weight.update(weight_of)
     assert max(total_weight.values()) == pytest.approx(min(total_weight.values()))
--- a/tests/unit/test_project.py
+++ b/tests/unit/test_project.py
@@ -16,7 +16,17 @@
 MAX_LINE_LENGTH = 110
 # The standard library modules that a policy module may import. The policy must neither read a clock nor
 # perform I/O, so none of these modules does.
-PURE_MODULES = {"__future__", "collections", "dataclasses", "enum", "hashlib", "math", "random", "typing"}
+PURE_MODULES = {
+    "__future__",
+    "bisect",
+    "collections",
+    "dataclasses",
+    "enum",
+    "hashlib",
+    "math",
+    "random",
+    "typing",
+}
 # The parts of the package, each with the other parts whose modules it may import.
 DEPENDENCIES = {
     "__init__": set(),
