Apply endpoint lists in bounded pieces, with the event loop running in between

What callers saw: requests wait while the gateway applies a complete list or the lines that have come in the meantime.

Cause: DiscoveryWatch applied all documents of one read (up to 256 KiB, over a thousand changes) within the callback, and a list was decoded and applied as a whole.

Change: a watch reads 8 KiB at a time (64 KiB within a longer document) and does not read on while its documents wait. DiscoverySession decodes and applies them one after the other. EndpointDirectory.split turns a complete list into pieces of at most 32 entries that have changed; endpoints that drain or are gone come first. Each piece changes directory, policy and pool together, so a list that is given up halfway leaves them consistent.

The callbacks of discovery clients in the tests are coroutines now.

--- a/http_gateway/net/discovery/client.py
+++ b/http_gateway/net/discovery/client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 
 from http_gateway.net.address import Address
@@ -19,7 +19,7 @@
     Args:
         address: The address of the discovery service.
         revision: The revision of the current endpoint list, from which the first watch resumes.
-        on_list: Callback for each list that the service sends.
+        on_list: Applies a list that the service has sent; the next one waits until it has returned.
         settings: The settings of the gateway, with the kind of discovery and the index of this gateway.
         max_document_bytes: The largest list that is accepted.
 
@@ -32,7 +32,7 @@
         self,
         address: Address,
         revision: int,
-        on_list: Callable[[EndpointList], None],
+        on_list: Callable[[EndpointList], Awaitable[None]],
         settings: Settings,
         max_document_bytes: int,
     ) -> None:
--- a/http_gateway/net/discovery/endpoint_directory.py
+++ b/http_gateway/net/discovery/endpoint_directory.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import replace
+from itertools import islice
 
 from http_gateway.net.address import Address
 from http_gateway.net.discovery.endpoint_list import EndpointEntry, EndpointList
@@ -11,6 +13,8 @@
 
 log = logging.getLogger(__name__)
 
+MAX_PIECE_ENTRIES = 32  # entries that are compared and applied without a return to the event loop
+
 
 class EndpointDirectory:
     """Makes each endpoint list unambiguous before the policy and the connection pool use it.
@@ -33,6 +37,47 @@
         """Return the number of listed endpoints."""
         return len(self._entries)
 
+    def split(self, endpoint_list: EndpointList) -> Iterator[EndpointList]:
+        """Split a list into pieces that have the same effect if they are applied one after the other.
+
+        A piece has at most `MAX_PIECE_ENTRIES` entries, and for each of them at most one more that releases
+        an address. The caller passes each piece to `resolve` before it takes the next one.
+
+        Args:
+            endpoint_list: A complete list, or the changes since the last one.
+
+        Yields:
+            Lists of changes. Those of a complete list leave out the endpoints that have not changed, so they
+            may be empty. The endpoints that may get no more requests come first.
+        """
+        if not endpoint_list.is_complete:
+            for piece in _in_pieces(endpoint_list.entries):
+                yield replace(endpoint_list, entries=piece)
+            return
+        listed = {entry.endpoint.id: entry for entry in endpoint_list.entries}
+        gone = [_as_removed(known) for known in self._entries.values() if known.endpoint.id not in listed]
+        not_ready = [entry for entry in listed.values() if entry.endpoint.state is not EndpointState.READY]
+        for candidates in _in_pieces((*gone, *not_ready, *listed.values())):
+            changed = [entry for entry in candidates if self._entries.get(entry.endpoint.id) != entry]
+            released = self._outdated_owners(changed, listed)
+            yield EndpointList(endpoint_list.revision, False, (*released, *changed))
+
+    def _outdated_owners(
+        self, entries: Iterable[EndpointEntry], listed: Mapping[EndpointId, EndpointEntry]
+    ) -> list[EndpointEntry]:
+        """Return the removals of endpoints that own an address of these entries and have changed themselves.
+
+        Their own entries follow in the list. Until then they must not keep the address from its new owner.
+        """
+        removals: list[EndpointEntry] = []
+        for entry in entries:
+            owner = self._entries.get(self._owners.get(entry.address, entry.endpoint.id))
+            if owner is None or owner.endpoint.id == entry.endpoint.id:
+                continue
+            if listed.get(owner.endpoint.id) != owner:
+                removals.append(_as_removed(owner))
+        return removals
+
     def resolve(self, endpoint_list: EndpointList, is_complete: bool) -> EndpointList:
         """Apply a list, and return it without ambiguous and surplus endpoints.
 
@@ -91,4 +136,14 @@
         owner.endpoint.id,
         *entry.address,
     )
+    return _as_removed(entry)
+
+
+def _as_removed(entry: EndpointEntry) -> EndpointEntry:
     return replace(entry, endpoint=replace(entry.endpoint, state=EndpointState.REMOVED))
+
+
+def _in_pieces(entries: Iterable[EndpointEntry]) -> Iterator[tuple[EndpointEntry, ...]]:
+    iterator = iter(entries)
+    while piece := tuple(islice(iterator, MAX_PIECE_ENTRIES)):
+        yield piece
--- a/http_gateway/net/discovery/endpoint_list.py
+++ b/http_gateway/net/discovery/endpoint_list.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from hashlib import blake2b
+from itertools import islice
 from typing import Any
 
 from http_gateway.net.address import Address, parse_address
@@ -49,11 +50,54 @@
     return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "big")
 
 
-def read_endpoint_list(document: object) -> EndpointList:
-    """Convert a parsed JSON document into an endpoint list.
+class EndpointListReader:
+    """Converts a parsed JSON document into an endpoint list, in steps of a bounded number of entries.
 
     An endpoint in an unknown state is treated as draining.
 
+    Args:
+        document: The parsed JSON document.
+
+    Raises:
+        EndpointListError: The document is not an endpoint list.
+    """
+
+    def __init__(self, document: object) -> None:
+        if not isinstance(document, Mapping):
+            raise EndpointListError("the endpoint list is not a JSON object")
+        members = document.get("members")
+        if not isinstance(members, Iterable):
+            raise EndpointListError("members is not a JSON array")
+        try:
+            self._revision = int(document.get("revision") or 0)
+        except (ValueError, TypeError, OverflowError):
+            raise EndpointListError("revision is not an integer") from None
+        self._is_complete = bool(document.get("complete"))
+        self._members = enumerate(members)
+        self._entries: list[EndpointEntry] = []
+
+    def read(self, max_entries: int | None = None) -> EndpointList | None:
+        """Convert the next entries.
+
+        Args:
+            max_entries: How many entries to convert; None converts all.
+
+        Returns:
+            The list once all entries are converted; None before that.
+
+        Raises:
+            EndpointListError: An entry is not valid.
+        """
+        count_before = len(self._entries)
+        self._entries.extend(_read_entry(entry, index) for index, entry in islice(self._members, max_entries))
+        if max_entries is not None and len(self._entries) - count_before == max_entries:
+            return None
+        return EndpointList(self._revision, self._is_complete, tuple(self._entries))
+
+
+def read_endpoint_list(document: object) -> EndpointList:
+    """Convert a parsed JSON document into an endpoint list.
+
     Args:
         document: The parsed JSON document.
 
@@ -63,17 +107,9 @@
     Raises:
         EndpointListError: The document is not an endpoint list.
     """
-    if not isinstance(document, Mapping):
-        raise EndpointListError("the endpoint list is not a JSON object")
-    members = document.get("members")
-    if not isinstance(members, Iterable):
-        raise EndpointListError("members is not a JSON array")
-    try:
-        revision = int(document.get("revision") or 0)
-    except (ValueError, TypeError, OverflowError):
-        raise EndpointListError("revision is not an integer") from None
-    entries = tuple(_read_entry(entry, index) for index, entry in enumerate(members))
-    return EndpointList(revision, bool(document.get("complete")), entries)
+    endpoint_list = EndpointListReader(document).read()
+    assert endpoint_list is not None
+    return endpoint_list
 
 
 def _read_name(entry: Mapping[str, Any], field: str) -> str:
--- a/http_gateway/net/discovery/json_stream.py
+++ b/http_gateway/net/discovery/json_stream.py
@@ -31,6 +31,11 @@
         """Whether the beginning of a document has been received, but not its end."""
         return bool(self._buffer)
 
+    @property
+    def partial_document_bytes(self) -> int:
+        """The number of bytes that have been received of a document without its end."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[bytes]:
         """Add received bytes and return the documents that they complete.
 
--- a/http_gateway/net/discovery/session.py
+++ b/http_gateway/net/discovery/session.py
@@ -5,12 +5,13 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 import orjson
 
 from http_gateway.net.address import Address
-from http_gateway.net.discovery.endpoint_list import EndpointList, read_endpoint_list
+from http_gateway.net.discovery.endpoint_list import EndpointList, EndpointListReader
 from http_gateway.net.discovery.poll_schedule import PollSchedule
 from http_gateway.net.discovery.watch import DiscoveryWatch
 
@@ -18,6 +19,14 @@
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_CONCURRENT_CALLS = 5  # a further call cancels the oldest one
+ENTRIES_PER_STEP = 256  # entries of a list that are decoded without a return to the event loop
+
+
+class ReceivedDocument(NamedTuple):
+    """A document that waits to be applied, and the watch that received it."""
+
+    watch: DiscoveryWatch
+    content: bytes
 
 
 class DiscoverySession:
@@ -31,7 +40,7 @@
         revision: The revision to resume from; 0 requests a complete list. Revisions of different services are
             unrelated.
         schedule: The timing of the calls.
-        on_list: Callback for each list; an exception that it raises ends the watch.
+        on_list: Applies a list; an exception that it raises ends the watch. The next list waits for its end.
         service_responded: Event to set once the service has sent a list or rejected a call.
         max_document_bytes: The largest list that is accepted.
     """
@@ -41,7 +50,7 @@
         address: Address,
         revision: int,
         schedule: PollSchedule,
-        on_list: Callable[[EndpointList], None],
+        on_list: Callable[[EndpointList], Awaitable[None]],
         service_responded: asyncio.Event,
         max_document_bytes: int,
     ) -> None:
@@ -53,6 +62,7 @@
         self._service_responded = service_responded
         self._active_watch: DiscoveryWatch | None = None  # the first watch that the service accepted
         self._is_closed = False
+        self._documents: asyncio.Queue[ReceivedDocument] = asyncio.Queue()
 
     def close(self) -> None:
         """Close the session; everything that the service sends later is ignored."""
@@ -60,6 +70,13 @@
 
     async def run(self) -> None:
         """Open a watch, and another one whenever it ends, until the task is cancelled."""
+        applier = asyncio.create_task(self._apply_documents())
+        try:
+            await self._keep_watch_open()
+        finally:
+            applier.cancel()
+
+    async def _keep_watch_open(self) -> None:
         # Without this wait, gateways that start or switch together would all call the service at once.
         if self._schedule.is_shared:
             await self._wait_for_next_call()
@@ -71,6 +88,7 @@
                 log.exception("discovery watch failed")
             finally:
                 self._end_active_watch()
+            await self._documents.join()  # the next watch resumes behind what this one has received
             await self._wait_for_next_call()
 
     def try_activate(self, watch: DiscoveryWatch) -> bool:
@@ -90,27 +108,56 @@
             self._service_responded.set()
 
     def on_document(self, watch: DiscoveryWatch, document: bytes) -> None:
-        """Decode a list and pass it on if it comes from the active watch.
-
-        A list that cannot be decoded ends the watch, as its changes would otherwise be missing from the
-        current list. The next watch resumes from the revision before it.
+        """Queue a list if it comes from the active watch, which does not read on until it is applied.
 
         Args:
             watch: The watch that received the document.
             document: The bytes of the list.
+        """
+        if self.try_activate(watch):
+            self._documents.put_nowait(ReceivedDocument(watch, document))
+            watch.pause_reading()
+
+    async def _apply_documents(self) -> None:
+        """Decode the received lists and pass them on, one after the other; the event loop runs in between.
+
+        A list that cannot be decoded or applied ends the watch, as its changes would otherwise be missing
+        from the current list. The next watch resumes from the revision before it.
+        """
+        while True:
+            watch, content = await self._documents.get()
+            try:
+                await self._apply(content)
+            except Exception as error:
+                watch.end(f"{type(error).__name__}: {error}")
+                self._discard_documents()
+            self._documents.task_done()
+            if self._documents.empty():
+                watch.resume_reading()
+            await asyncio.sleep(0)
+
+    async def _apply(self, content: bytes) -> None:
+        """Decode and apply one list.
 
         Raises:
             orjson.JSONDecodeError: The document is not JSON.
             EndpointListError: The document is not an endpoint list.
         """
-        if not self.try_activate(watch):
+        reader = EndpointListReader(orjson.loads(content))
+        while (endpoint_list := reader.read(ENTRIES_PER_STEP)) is None:
+            await asyncio.sleep(0)
+        if self._is_closed:
             return
-        endpoint_list = read_endpoint_list(orjson.loads(document))
-        self._on_list(endpoint_list)
+        await self._on_list(endpoint_list)
         self._revision = endpoint_list.revision
         self._schedule.on_list_received()
         self._service_responded.set()
 
+    def _discard_documents(self) -> None:
+        while not self._documents.empty():
+            self._documents.get_nowait()
+            self._documents.task_done()
+
     async def _wait_for_next_call(self) -> None:
         await asyncio.sleep(self._schedule.next_delay_s(time.time()))
 
--- a/http_gateway/net/discovery/watch.py
+++ b/http_gateway/net/discovery/watch.py
@@ -10,6 +10,7 @@
 
 from http_gateway.net.address import Address
 from http_gateway.net.discovery.json_stream import JsonStreamSplitter
+from http_gateway.net.http.shared_buffer import RECEIVE_BUFFER_BYTES, SharedBufferProtocol
 
 # The service sends an empty line every 2 s on an open watch, so a longer silence means that the watch has
 # failed. Every change of the endpoint list (an endpoint starts, drains or is removed) counts as received by
@@ -21,6 +22,8 @@
 WATCH_IDLE_TIMEOUT_S = 2.5
 # An unanswered call, including the time to connect, ends before the next poll slot of the gateway.
 RESPONSE_TIMEOUT_S = 4.0
+# Bytes that are read at once: some thirty lines with one change each. A list that is longer is read faster.
+READ_BYTES = 8 * 1024
 
 
 class WatchRejectedError(Exception):
@@ -48,9 +51,11 @@
         """Handle a complete document; an exception raised here ends the watch."""
 
 
-class DiscoveryWatch(asyncio.Protocol):
+class DiscoveryWatch(SharedBufferProtocol):
     """The connection of one call, which passes each received document to a listener.
 
+    It reads a little at a time, and the listener stops it from reading while documents wait to be applied.
+
     Args:
         address: The address of the service.
         revision: The revision to resume from; 0 requests a complete list.
@@ -73,6 +78,7 @@
         self._transport: asyncio.Transport | None = None
         self._requested_at_s = 0.0
         self._timeout: asyncio.TimerHandle | None = None
+        self._is_paused = False
         self.accepted: asyncio.Future[bool] = self._loop.create_future()
         self.ended: asyncio.Future[str] = self._loop.create_future()
 
@@ -84,7 +90,12 @@
         transport.write(self._request)
         self._restart_timeout(RESPONSE_TIMEOUT_S)
 
-    def data_received(self, data: bytes) -> None:
+    def next_read_bytes(self) -> int:
+        """Return how many bytes the next read may have."""
+        is_long_document = self._documents.partial_document_bytes > READ_BYTES
+        return RECEIVE_BUFFER_BYTES if is_long_document else READ_BYTES
+
+    def on_data(self, data: memoryview) -> None:
         """Parse the next part of the response."""
         if self.ended.done() or self._parser is None:
             return
@@ -93,7 +104,23 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.end(_describe(error))
         # The timeout is not restarted while a document is incomplete: the rest must arrive before it expires.
-        if not self._documents.has_partial_document and not self.ended.done():
+        if not self._documents.has_partial_document and not self._is_paused and not self.ended.done():
+            self._restart_timeout(WATCH_IDLE_TIMEOUT_S)
+
+    def pause_reading(self) -> None:
+        """Read no more until `resume_reading`; what the service sends meanwhile waits in the socket."""
+        assert self._transport is not None
+        self._is_paused = True
+        self._transport.pause_reading()
+        if self._timeout is not None:
+            self._timeout.cancel()
+
+    def resume_reading(self) -> None:
+        """Read again, and expect the next bytes within the idle timeout from now."""
+        assert self._transport is not None
+        self._is_paused = False
+        if not self.ended.done():
+            self._transport.resume_reading()
             self._restart_timeout(WATCH_IDLE_TIMEOUT_S)
 
     def on_headers_complete(self) -> None:
--- a/http_gateway/service.py
+++ b/http_gateway/service.py
@@ -164,10 +164,17 @@
         self._memory_monitor.start()
         log.info("listening name=%s address=%s:%d", self._config.name, self._config.listen_address[0], port)
 
-    def _update_endpoints(self, endpoint_list: EndpointList) -> None:
-        """Apply a list, and take the memory of its endpoints away from the messages."""
-        self._dispatcher.update_endpoints(endpoint_list)
-        self._budgets.set_limit(self._plan.message_bytes(len(self._directory)))
+    async def _update_endpoints(self, endpoint_list: EndpointList) -> None:
+        """Apply a list in pieces, and take the memory of its endpoints away from the messages.
+
+        The event loop runs between the pieces. If the task is cancelled there, the gateway keeps the pieces
+        that were applied, and the next complete list brings the others.
+        """
+        for piece in self._directory.split(endpoint_list):
+            if piece.entries:
+                self._dispatcher.update_endpoints(piece)
+                self._budgets.set_limit(self._plan.message_bytes(len(self._directory)))
+            await asyncio.sleep(0)
 
     def _describe_usage(self) -> str:
         return (
--- a/tests/integration/test_discovery_client.py
+++ b/tests/integration/test_discovery_client.py
@@ -21,6 +21,7 @@
     REJECTION,
     WATCH_HEAD,
     accept_watch,
+    append_to,
     chunk,
     list_document,
     polled_settings,
@@ -48,7 +49,7 @@
         lists: list[EndpointList] = []
         address = ("127.0.0.1", service.port)
         client = DiscoveryClient(
-            address, 0, lists.append, polled_settings(4, gateway_index=3), MAX_DOCUMENT_BYTES
+            address, 0, append_to(lists), polled_settings(4, gateway_index=3), MAX_DOCUMENT_BYTES
         )
         started_at_s = loop.time()
         if switches:
--- a/tests/support/discovery.py
+++ b/tests/support/discovery.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
 
@@ -56,6 +56,15 @@
     writer.write(WATCH_HEAD + chunk(list_document(41, complete=False)))
 
 
+def append_to(lists: list[EndpointList]) -> Callable[[EndpointList], Awaitable[None]]:
+    """Return a callback of a discovery client that only records the lists."""
+
+    async def append(endpoint_list: EndpointList) -> None:
+        lists.append(endpoint_list)
+
+    return append
+
+
 @asynccontextmanager
 async def running_client(
     service: LoopbackPeer, revision: int = 0, settings: Settings = SETTINGS
@@ -63,7 +72,7 @@
     """Run a client of a service; yields the client and the lists that it has received so far."""
     lists: list[EndpointList] = []
     client = DiscoveryClient(
-        ("127.0.0.1", service.port), revision, lists.append, settings, MAX_DOCUMENT_BYTES
+        ("127.0.0.1", service.port), revision, append_to(lists), settings, MAX_DOCUMENT_BYTES
     )
     client.start()
     try:
--- a/tests/unit/net/test_endpoint_directory.py
+++ b/tests/unit/net/test_endpoint_directory.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+from random import Random
+
+import pytest
+
 from http_gateway.net.address import Address
-from http_gateway.net.discovery.endpoint_directory import EndpointDirectory
+from http_gateway.net.discovery.endpoint_directory import MAX_PIECE_ENTRIES, EndpointDirectory
 from http_gateway.net.discovery.endpoint_list import EndpointEntry, EndpointList
 from http_gateway.policy.endpoint import Endpoint, EndpointState
 
@@ -82,3 +87,70 @@
     assert resolved_states(directory, entry(0, state=EndpointState.DRAINING)) == {0: EndpointState.DRAINING}
     resolved_states(directory, entry(1, state=EndpointState.REMOVED))
     assert resolved_states(directory, entry(77)) == {77: EndpointState.READY}
+
+
+def draw_list(random: Random, id_count: int) -> EndpointList:
+    """Return a complete list in which addresses pass from one endpoint to another."""
+    states = [EndpointState.READY] * 5 + [EndpointState.DRAINING, EndpointState.REMOVED]
+    entries = [
+        entry(
+            endpoint_id,
+            random.randrange(3),
+            random.choice(states),
+            ("127.0.0.1", 9000 + random.randrange(2 * id_count)),
+        )
+        for endpoint_id in random.sample(range(id_count), random.randrange(id_count + 1))
+    ]
+    return EndpointList(1, True, tuple(entries))
+
+
+def apply_in_pieces(directory: EndpointDirectory, complete: EndpointList, max_pieces: int) -> int:
+    """Apply a complete list in pieces; return how many there were."""
+    count = 0
+    for piece in directory.split(complete):
+        if count == max_pieces:
+            break
+        directory.resolve(piece, piece.is_complete)
+        assert not piece.is_complete
+        assert len(piece.entries) <= 2 * MAX_PIECE_ENTRIES
+        count += 1
+    return count
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_complete_list_in_pieces_gives_the_same_endpoints(seed: int) -> None:
+    """This holds after any list, also after one of which only some pieces were applied."""
+    random = Random(seed)
+    id_count = random.choice([5, 40, 300])
+    directory = EndpointDirectory(id_count)
+    for _ in range(6):
+        complete = draw_list(random, id_count)
+        if random.random() < 0.5:
+            apply_in_pieces(directory, draw_list(random, id_count), max_pieces=random.randrange(4))
+        apply_in_pieces(directory, complete, max_pieces=id_count)
+        expected = EndpointDirectory(id_count)
+        expected.resolve(complete, True)
+        assert directory._entries == expected._entries
+        assert directory._owners == expected._owners
+
+
+def test_complete_list_without_changes_has_no_entries_to_apply() -> None:
+    directory = EndpointDirectory(1000)
+    entries = tuple(entry(number, address=("127.0.0.1", 9000 + number)) for number in range(200))
+    complete = EndpointList(1, True, entries)
+    assert apply_in_pieces(directory, complete, max_pieces=1000) == -(-200 // MAX_PIECE_ENTRIES)
+    assert all(not piece.entries for piece in directory.split(complete))
+
+
+def test_endpoints_that_drain_or_are_gone_come_before_new_ones() -> None:
+    """The drain grace period has begun, while a new endpoint can wait."""
+    directory = EndpointDirectory(1000)
+    old = [entry(number, address=("127.0.0.1", 9000 + number)) for number in range(100)]
+    directory.resolve(EndpointList(1, True, tuple(old)), True)
+    new = [entry(200 + number, address=("127.0.0.1", 9200 + number)) for number in range(100)]
+    draining = [
+        replace(known, endpoint=replace(known.endpoint, state=EndpointState.DRAINING)) for known in old
+    ]
+    complete = EndpointList(2, True, (*new, *draining[:50]))
+    states = [changed.endpoint.state for piece in directory.split(complete) for changed in piece.entries]
+    assert EndpointState.READY not in states[:100]
