Find the connection to close at the limit among the idle ones, not all endpoints

Cause: at the connection limit each new connect built a list of the idle connections of every endpoint.

Change: the pool registers the idle connections of all endpoints in one place. The one that is closed is the same.

--- a/http_gateway/net/upstream/endpoint_connections.py
+++ b/http_gateway/net/upstream/endpoint_connections.py
@@ -13,6 +13,9 @@
 from http_gateway.policy.endpoint import EndpointId, EndpointState
 from http_gateway.policy.events import Outcome
 
+# The idle connections to all endpoints together. Their number is limited, unlike that of the endpoints.
+IdleConnections = dict[UpstreamConnection, None]
+
 
 class ConnectionTimeouts(NamedTuple):
     """Timeouts in seconds for opening a connection and for an idle connection."""
@@ -29,6 +32,7 @@
         timeouts: Timeouts of the connections.
         descriptors: Counts the connections to all endpoints.
         budgets: The budgets of requests and responses.
+        all_idle: Where the idle connections are registered.
     """
 
     def __init__(
@@ -37,8 +41,10 @@
         timeouts: ConnectionTimeouts,
         descriptors: DescriptorCount,
         budgets: MessageBudgets,
+        all_idle: IdleConnections,
     ) -> None:
         self._entry = entry
+        self._all_idle = all_idle
         self._timeouts = timeouts
         self._descriptors = descriptors
         self._budgets = budgets
@@ -94,11 +100,12 @@
     def add_idle(self, connection: UpstreamConnection) -> None:
         """Add a connection that may be used for another attempt."""
         self._idle.append(connection)
+        self._all_idle[connection] = None
 
     def remove_idle(self, connection: UpstreamConnection) -> None:
         """Remove a connection, if it is idle, so that it is not used again."""
         if connection in self._idle:
-            self._idle.remove(connection)
+            self._stop_idling(connection)
 
     def take_idle(self, attempt: UpstreamAttempt) -> UpstreamConnection | None:
         """Take the most recently used idle connection, which is the least likely to have been closed.
@@ -118,7 +125,7 @@
             if connection.last_response_was_rejection and not attempt.has_safe_method:
                 after_rejection = connection
                 continue
-            self._idle.remove(connection)
+            self._stop_idling(connection)
             if connection.is_reusable():
                 return connection
             connection.drop()
@@ -127,6 +134,10 @@
             after_rejection.drop()
         return None
 
+    def _stop_idling(self, connection: UpstreamConnection) -> None:
+        self._idle.remove(connection)
+        del self._all_idle[connection]
+
     def start_connecting(self, attempt: UpstreamAttempt) -> None:
         """Open a connection for an attempt, in a task that the attempt owns."""
         self._descriptors.connect_started()
--- a/http_gateway/net/upstream/pool.py
+++ b/http_gateway/net/upstream/pool.py
@@ -12,7 +12,11 @@
 from http_gateway.net.upstream.attempt import AttemptEndCallback, UpstreamAttempt
 from http_gateway.net.upstream.connection import UpstreamConnection
 from http_gateway.net.upstream.descriptor_count import DescriptorCount
-from http_gateway.net.upstream.endpoint_connections import ConnectionTimeouts, EndpointConnections
+from http_gateway.net.upstream.endpoint_connections import (
+    ConnectionTimeouts,
+    EndpointConnections,
+    IdleConnections,
+)
 from http_gateway.policy.endpoint import EndpointId, EndpointState
 
 log = logging.getLogger(__name__)
@@ -40,6 +44,7 @@
         self._descriptors = DescriptorCount(max_connections)
         self._budgets = budgets
         self._endpoints: dict[EndpointId, EndpointConnections] = {}
+        self._idle: IdleConnections = {}
 
     @property
     def open_descriptors(self) -> int:
@@ -84,7 +89,7 @@
                 self._close(endpoint_id)
             if entry.endpoint.state is EndpointState.READY and endpoint_id not in self._endpoints:
                 self._endpoints[endpoint_id] = EndpointConnections(
-                    entry, self._timeouts, self._descriptors, self._budgets
+                    entry, self._timeouts, self._descriptors, self._budgets, self._idle
                 )
 
     def start_attempt(
@@ -134,7 +139,7 @@
 
     def _close_longest_idle(self) -> bool:
         """Close the connection that has been idle the longest, and return whether there was one."""
-        idle = [connection for endpoint in self._endpoints.values() for connection in endpoint.idle]
-        if idle:
-            min(idle, key=lambda connection: connection.idle_since_at_s).drop()
-        return bool(idle)
+        if not self._idle:
+            return False
+        min(self._idle, key=lambda connection: connection.idle_since_at_s).drop()
+        return True
--- a/tests/scale/costs.py
+++ b/tests/scale/costs.py
@@ -7,7 +7,9 @@
 import sys
 import time
 from collections.abc import Callable
+from functools import partial
 from itertools import islice
+from unittest.mock import Mock
 
 import orjson
 
@@ -40,6 +42,7 @@
 CHANGE_INTERVAL_US = 2500  # a deploy brings up to 400 changes a second
 SIMULATOR_CHANGES = 3000
 REPETITIONS = 60
+MAX_CONNECTIONS = 496  # of a gateway with 1,024 descriptors
 MS_PER_S = 1000.0
 _WIRE_STATES = {EndpointState.READY: "IN", EndpointState.DRAINING: "LAME", EndpointState.REMOVED: "OUT"}
 
@@ -206,10 +209,25 @@
     return _cpu_ms(lambda _: apply((next(changes),), False), REPETITIONS * 3)
 
 
+def connection_limit_ms(count: int) -> float:
+    """Return the cost of finding the connection to close when a new one would exceed the limit."""
+    pool = UpstreamPool(1.0, 60.0, MAX_CONNECTIONS, MessageBudgets.create(1 << 20, 100, 100))
+    entries = [
+        EndpointEntry(endpoint, ("127.0.0.1", endpoint.id % count)) for endpoint in make_endpoints(count)
+    ]
+    pool.update_endpoints(entries, is_complete=True)
+    for number, endpoint in enumerate(list(pool._endpoints.values())[:MAX_CONNECTIONS]):
+        connection = Mock(idle_since_at_s=float(number))
+        connection.drop = partial(endpoint.remove_idle, connection)
+        endpoint.add_idle(connection)
+    return _cpu_ms(lambda _: pool._close_longest_idle(), REPETITIONS)
+
+
 COSTS: dict[str, Callable[[int], float]] = {
     "list change over the simulator adapter": simulator_change_ms,
     "list change in the policy": list_change_ms,
     "list change in directory and pool": directory_and_pool_change_ms,
+    "connection to close at the limit": connection_limit_ms,
     "request every 100 ms, one endpoint warming up": warming_refresh_ms,
     "request, all endpoints warm": warm_request_ms,
     "request, all endpoints warming up": all_warming_choice_ms,
