Leave the cached endpoint list of the file unread when the configuration is reloaded

Cause: on SIGHUP a running gateway decoded the whole list in the file, within one callback of the event loop, and then ignored it.

Change: reload_config leaves the list out. A file whose list is invalid no longer fails the reload; the list is checked at the next start, as before.

--- a/http_gateway/net/config.py
+++ b/http_gateway/net/config.py
@@ -70,27 +70,36 @@
     """Read the configuration again in a running gateway.
 
     The discovery address comes from the file even if PROXY_DISCOVERY is set, as the file is newer than the
-    variable.
+    variable. The cached endpoint list is not read, since a running gateway does not use it and reading the
+    list of a large fleet would hold up the event loop.
 
     Args:
         environment: The environment variables.
         max_file_bytes: The largest file that is read.
 
     Returns:
-        The configuration.
+        The configuration, with an empty endpoint list.
 
     Raises:
         ConfigError: The configuration cannot be read or is invalid.
     """
-    return _load(environment, _RELOAD_VARIABLES, max_file_bytes)
+    return _load(environment, _RELOAD_VARIABLES, max_file_bytes, reads_cached_list=False)
 
 
-def _load(environment: Mapping[str, str], variables: Mapping[str, str], max_file_bytes: int) -> GatewayConfig:
+def _load(
+    environment: Mapping[str, str],
+    variables: Mapping[str, str],
+    max_file_bytes: int,
+    *,
+    reads_cached_list: bool = True,
+) -> GatewayConfig:
     path = environment.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG is not set or is empty")
     content = _read_file(path, max_file_bytes)
     document = _decode_document(content)
+    if not reads_cached_list:
+        document.pop("known", None)
     overrides = {field: environment[name] for field, name in variables.items() if environment.get(name)}
     try:
         return _read_config(JsonFields({**document, **overrides}), len(content))
