--- a/http_gateway/policy/capacity_totals.py
+++ b/http_gateway/policy/capacity_totals.py
@@ -63,6 +63,16 @@
     warming_up_count: int = 0
     warming_up_started_at_sum_us: int = 0  # sum of the start times of the endpoints that are warming up
 
+    def add_warming_up(self, started_at_us: int) -> None:
+        """Add an endpoint that is warming up."""
+        self.warming_up_count += 1
+        self.warming_up_started_at_sum_us += started_at_us
+
+    def remove_warming_up(self, started_at_us: int) -> None:
+        """Remove an endpoint that was warming up."""
+        self.warming_up_count -= 1
+        self.warming_up_started_at_sum_us -= started_at_us
+
 
 @dataclass(slots=True)
 class _MachineTypeTotals:
@@ -71,6 +81,16 @@
     warm_units: int = 0
     units_by_zone: dict[str, int] = field(default_factory=dict)
 
+    def add_units(self, zone: str, units: int) -> None:
+        """Add an endpoint of a zone, warm or not."""
+        self.units_by_zone[zone] = self.units_by_zone.get(zone, 0) + units
+
+    def remove_units(self, zone: str, units: int) -> None:
+        """Remove an endpoint of a zone, and the zone with its last endpoint."""
+        self.units_by_zone[zone] -= units
+        if not self.units_by_zone[zone]:  # every endpoint has more than 0 units
+            del self.units_by_zone[zone]
+
 
 class CapacityTotals:
     """Counts and capacities of the ready endpoints by zone and by machine type.
@@ -110,55 +130,49 @@
             self._zones[endpoint.zone].not_started_count -= 1
             self._add_warming_up(endpoint)
         for endpoint in _remove_started_until(self._warming_up, now_us - self._settings.slow_start_window_us):
-            self._remove_from_warming_up_totals(endpoint)
+            self._zones[endpoint.zone].remove_warming_up(endpoint.started_at_us)
             self._machine_types[endpoint.machine_type].warm_units += self._units(endpoint)
             self._changed_machine_types.add(endpoint.machine_type)
 
     def add(self, endpoint: Endpoint) -> None:
         """Add a ready endpoint."""
-        self._revision += 1
-        zone = self._zones.get(endpoint.zone)
-        if zone is None:
-            zone = self._zones[endpoint.zone] = _ZoneTotals()
-        zone.endpoint_count += 1
+        self._mark_changed(endpoint)
         units = self._units(endpoint)
         machine_type = self._machine_types.get(endpoint.machine_type)
         if machine_type is None:
             machine_type = self._machine_types[endpoint.machine_type] = _MachineTypeTotals()
-        units_by_zone = machine_type.units_by_zone
-        units_by_zone[endpoint.zone] = units_by_zone.get(endpoint.zone, 0) + units
-        self._changed_machine_types.add(endpoint.machine_type)
-        stage = self._stage(endpoint)
-        if stage is WarmUpStage.WARM:
-            machine_type.warm_units += units
-        elif stage is WarmUpStage.WARMING_UP:
-            self._add_warming_up(endpoint)
-        else:
-            zone.not_started_count += 1
-            insort(self._not_started, _warm_up_entry(endpoint))
+        machine_type.add_units(endpoint.zone, units)
+        zone = self._zones.get(endpoint.zone)
+        if zone is None:
+            zone = self._zones[endpoint.zone] = _ZoneTotals()
+        zone.endpoint_count += 1
+        match self._stage(endpoint):
+            case WarmUpStage.WARM:
+                machine_type.warm_units += units
+            case WarmUpStage.WARMING_UP:
+                self._add_warming_up(endpoint)
+            case WarmUpStage.NOT_STARTED:
+                zone.not_started_count += 1
+                insort(self._not_started, _warm_up_entry(endpoint))
 
     def remove(self, endpoint: Endpoint) -> None:
         """Remove an endpoint that was added with this list entry."""
-        self._revision += 1
+        self._mark_changed(endpoint)
         units = self._units(endpoint)
         machine_type = self._machine_types[endpoint.machine_type]
-        stage = self._stage(endpoint)
-        if stage is WarmUpStage.WARM:
-            machine_type.warm_units -= units
-        elif stage is WarmUpStage.WARMING_UP:
-            self._remove_from_warming_up_totals(endpoint)
-            _remove_entry(self._warming_up, endpoint)
-        else:
-            self._zones[endpoint.zone].not_started_count -= 1
-            _remove_entry(self._not_started, endpoint)
-        self._changed_machine_types.add(endpoint.machine_type)
-        units_by_zone = machine_type.units_by_zone
-        units_by_zone[endpoint.zone] -= units
-        if not units_by_zone[endpoint.zone]:  # every endpoint has more than 0 units
-            del units_by_zone[endpoint.zone]
-        if not units_by_zone:
-            del self._machine_types[endpoint.machine_type]
         zone = self._zones[endpoint.zone]
+        match self._stage(endpoint):
+            case WarmUpStage.WARM:
+                machine_type.warm_units -= units
+            case WarmUpStage.WARMING_UP:
+                zone.remove_warming_up(endpoint.started_at_us)
+                _remove_entry(self._warming_up, endpoint)
+            case WarmUpStage.NOT_STARTED:
+                zone.not_started_count -= 1
+                _remove_entry(self._not_started, endpoint)
+        machine_type.remove_units(endpoint.zone, units)
+        if not machine_type.units_by_zone:
+            del self._machine_types[endpoint.machine_type]
         zone.endpoint_count -= 1
         if not zone.endpoint_count:
             del self._zones[endpoint.zone]
@@ -206,15 +220,12 @@
         return int(full_capacity(endpoint, self._settings) * CAPACITY_UNITS)
 
     def _add_warming_up(self, endpoint: Endpoint) -> None:
-        zone = self._zones[endpoint.zone]
-        zone.warming_up_count += 1
-        zone.warming_up_started_at_sum_us += endpoint.started_at_us
+        self._zones[endpoint.zone].add_warming_up(endpoint.started_at_us)
         insort(self._warming_up, _warm_up_entry(endpoint))
 
-    def _remove_from_warming_up_totals(self, endpoint: Endpoint) -> None:
-        zone = self._zones[endpoint.zone]
-        zone.warming_up_count -= 1
-        zone.warming_up_started_at_sum_us -= endpoint.started_at_us
+    def _mark_changed(self, endpoint: Endpoint) -> None:
+        self._revision += 1
+        self._changed_machine_types.add(endpoint.machine_type)
 
 
 def _warm_up_entry(endpoint: Endpoint) -> _WarmUpEntry:
--- a/http_gateway/policy/endpoint_set.py
+++ b/http_gateway/policy/endpoint_set.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from dataclasses import dataclass, field
 from random import Random
 
 from http_gateway.policy.capacity_totals import CapacityTotals
@@ -21,6 +22,14 @@
 WEIGHTS_UPDATE_INTERVAL_US = US_PER_S // 10
 
 
+@dataclass(slots=True)
+class _Changes:
+    """The endpoints that one update removes and adds; one that has restarted is in both lists."""
+
+    removed: list[TrackedEndpoint] = field(default_factory=list)
+    added: list[TrackedEndpoint] = field(default_factory=list)
+
+
 class EndpointSet:
     """The ready endpoints, and how this gateway's work is divided among them.
 
@@ -98,22 +107,13 @@
         """
         self._totals.advance(now_us)
         entries = {endpoint.id: endpoint for endpoint in update.endpoints}
-        unlisted: list[EndpointId] = []
+        changes = _Changes()
         if update.kind is not ListUpdateKind.DELTA:
             unlisted = [endpoint_id for endpoint_id in self._endpoints if endpoint_id not in entries]
-        removed = [self._remove(endpoint_id) for endpoint_id in unlisted]
-        added: list[TrackedEndpoint] = []
+            changes.removed.extend(self._remove(endpoint_id) for endpoint_id in unlisted)
         for endpoint in entries.values():
-            tracked = self._endpoints.get(endpoint.id)
-            is_ready = endpoint.state is EndpointState.READY
-            if tracked is not None and is_ready and _is_same_start(tracked.endpoint, endpoint):
-                self._update(tracked, endpoint)
-                continue
-            if tracked is not None:
-                removed.append(self._remove(endpoint.id))
-            if is_ready:
-                added.append(self._add(endpoint, now_us))
-        self._subset.update(removed, added)
+            self._apply_entry(endpoint, now_us, changes)
+        self._subset.update(changes.removed, changes.added)
         self._on_totals_changed(now_us)
 
     def update_weights_if_due(self, now_us: int) -> None:
@@ -126,8 +126,19 @@
             self._subset.restart_shuffle()
             self._on_totals_changed(now_us)
 
+    def _apply_entry(self, endpoint: Endpoint, now_us: int, changes: _Changes) -> None:
+        """Add, update or remove one endpoint; a changed start time means that the endpoint has restarted."""
+        tracked = self._endpoints.get(endpoint.id)
+        is_ready = endpoint.state is EndpointState.READY
+        if tracked is not None and is_ready and tracked.endpoint.started_at_us == endpoint.started_at_us:
+            self._update(tracked, endpoint)
+            return
+        if tracked is not None:
+            changes.removed.append(self._remove(endpoint.id))
+        if is_ready:
+            changes.added.append(self._add(endpoint, now_us))
+
     def _add(self, endpoint: Endpoint, now_us: int) -> TrackedEndpoint:
-        """Add an endpoint that is new or has restarted."""
         tracked = TrackedEndpoint.create(
             endpoint,
             self._random,
@@ -157,8 +168,3 @@
         self._slow_start.update(now_us)
         self._zone_weights = None
         self._weights_updated_at_us = None if self._totals.all_warm else now_us
-
-
-def _is_same_start(known: Endpoint, listed: Endpoint) -> bool:
-    """Return whether two entries describe the same start; another start time means that it has restarted."""
-    return known.started_at_us == listed.started_at_us
--- a/tests/integration/test_large_lists.py
+++ b/tests/integration/test_large_lists.py
@@ -10,14 +10,19 @@
 
 from http_gateway.net.config import load_config
 from http_gateway.net.discovery import watch
-from http_gateway.net.discovery.client import DiscoveryClient
 from http_gateway.net.discovery.endpoint_directory import MAX_PIECE_ENTRIES
 from http_gateway.net.discovery.endpoint_list import EndpointEntry, EndpointList
 from http_gateway.net.http.messages import Message
-from http_gateway.net.memory.plan import MAX_DOCUMENT_BYTES
 from http_gateway.policy.endpoint import Endpoint
 from http_gateway.service import GatewayService
-from tests.support.discovery import PUSHED_SETTINGS, WATCH_HEAD, accept_watch, chunk, list_document
+from tests.support.discovery import (
+    PUSHED_SETTINGS,
+    WATCH_HEAD,
+    accept_watch,
+    chunk,
+    list_document,
+    running_client,
+)
 from tests.support.loopback import async_test, start_peers, wait_until
 from tests.support.service import config_document, free_port, write_config
 
@@ -48,19 +53,14 @@
 @async_test
 async def test_changes_that_have_waited_are_applied_in_small_batches() -> None:
     """Guards against requests that wait until all changes of a read of 256 KiB are applied."""
-    revisions: list[int] = []
-
-    async def record(endpoint_list: EndpointList) -> None:
-        revisions.append(endpoint_list.revision)
-
-    async with start_peers(accept_watch) as (service,):
-        client = DiscoveryClient(("127.0.0.1", service.port), 1, record, PUSHED_SETTINGS, MAX_DOCUMENT_BYTES)
-        client.start()
+    async with (
+        start_peers(accept_watch) as (service,),
+        running_client(service, 1, PUSHED_SETTINGS) as (_, lists),
+    ):
         await wait_until(lambda: service.requests)
         service.writers[0].write(chunk(change_lines()))
-        assert await largest_step(lambda: len(revisions), CHANGE_COUNT) <= MAX_PIECE_ENTRIES
-        client.stop()
-    assert revisions == list(range(1, CHANGE_COUNT + 1))
+        assert await largest_step(lambda: len(lists), CHANGE_COUNT) <= MAX_PIECE_ENTRIES
+        assert [received.revision for received in lists] == list(range(1, CHANGE_COUNT + 1))
 
 
 @pytest.mark.parametrize("is_complete", [True, False])
@@ -83,47 +83,32 @@
 async def test_watch_does_not_time_out_while_its_list_is_applied(monkeypatch: pytest.MonkeyPatch) -> None:
     """While the gateway does not read, the silence is its own."""
     monkeypatch.setattr(watch, "WATCH_IDLE_TIMEOUT_S", 0.1)
-    applied: list[int] = []
-
-    async def apply_slowly(endpoint_list: EndpointList) -> None:
-        await asyncio.sleep(0.3)
-        applied.append(endpoint_list.revision)
-
-    async with start_peers(accept_watch) as (service,):
-        client = DiscoveryClient(
-            ("127.0.0.1", service.port), 1, apply_slowly, PUSHED_SETTINGS, MAX_DOCUMENT_BYTES
-        )
-        client.start()
+    async with (
+        start_peers(accept_watch) as (service,),
+        running_client(service, 1, PUSHED_SETTINGS, list_delay_s=0.3) as (_, lists),
+    ):
         await wait_until(lambda: service.requests)
         service.writers[0].write(chunk(list_document(2)) + chunk(list_document(3)))
-        await wait_until(lambda: applied)
+        await wait_until(lambda: lists)
         assert len(service.requests) == 1
         await wait_until(lambda: len(service.requests) == 2)  # the silence after the last list
-        client.stop()
-    assert applied == [2, 3]
-    assert service.requests[1].target.endswith(b"from=3")
+        assert [received.revision for received in lists] == [2, 3]
+        assert service.requests[1].target.endswith(b"from=3")
 
 
 @async_test
 async def test_lists_received_before_the_end_of_a_watch_are_applied_before_the_next_call() -> None:
     """Otherwise the next watch would bring changes that are older than some that wait."""
-    applied: list[int] = []
 
     async def script(request: Message, writer: asyncio.StreamWriter) -> None:
         writer.write(WATCH_HEAD)
         if len(service.requests) == 1:
             writer.write(chunk(change_lines()[:4000]) + b"0\r\n\r\n")
 
-    async def apply_slowly(endpoint_list: EndpointList) -> None:
-        await asyncio.sleep(0.01)
-        applied.append(endpoint_list.revision)
-
-    async with start_peers(script) as (service,):
-        client = DiscoveryClient(
-            ("127.0.0.1", service.port), 1, apply_slowly, PUSHED_SETTINGS, MAX_DOCUMENT_BYTES
-        )
-        client.start()
+    async with (
+        start_peers(script) as (service,),
+        running_client(service, 1, PUSHED_SETTINGS, list_delay_s=0.01) as (_, lists),
+    ):
         await wait_until(lambda: len(service.requests) == 2)
-        client.stop()
-        assert len(applied) > 10
-        assert service.requests[1].target.endswith(b"from=%d" % applied[-1])
+        assert len(lists) > 10
+        assert service.requests[1].target.endswith(b"from=%d" % lists[-1].revision)
--- a/tests/support/discovery.py
+++ b/tests/support/discovery.py
@@ -56,10 +56,14 @@
     writer.write(WATCH_HEAD + chunk(list_document(41, complete=False)))
 
 
-def append_to(lists: list[EndpointList]) -> Callable[[EndpointList], Awaitable[None]]:
-    """Return a callback of a discovery client that only records the lists."""
+def append_to(
+    lists: list[EndpointList], delay_s: float | None = None
+) -> Callable[[EndpointList], Awaitable[None]]:
+    """Return a callback of a discovery client that only records the lists, each after a delay."""
 
     async def append(endpoint_list: EndpointList) -> None:
+        if delay_s is not None:
+            await asyncio.sleep(delay_s)
         lists.append(endpoint_list)
 
     return append
@@ -67,12 +71,19 @@
 
 @asynccontextmanager
 async def running_client(
-    service: LoopbackPeer, revision: int = 0, settings: Settings = SETTINGS
+    service: LoopbackPeer, revision: int = 0, settings: Settings = SETTINGS, list_delay_s: float | None = None
 ) -> AsyncIterator[tuple[DiscoveryClient, list[EndpointList]]]:
-    """Run a client of a service; yields the client and the lists that it has received so far."""
+    """Run a client of a service; yields the client and the lists that it has received so far.
+
+    Args:
+        service: The discovery service.
+        revision: The revision from which the first watch resumes.
+        settings: The settings of the gateway.
+        list_delay_s: The time that the application of each list takes; None returns without a pause.
+    """
     lists: list[EndpointList] = []
     client = DiscoveryClient(
-        ("127.0.0.1", service.port), revision, append_to(lists), settings, MAX_DOCUMENT_BYTES
+        ("127.0.0.1", service.port), revision, append_to(lists, list_delay_s), settings, MAX_DOCUMENT_BYTES
     )
     client.start()
     try:
