--- a/tests/unit/policy/test_endpoint_set.py
+++ b/tests/unit/policy/test_endpoint_set.py
@@ -189,3 +189,12 @@
     assert current_counts() == (1, 1)
     endpoint_set.apply(EndpointListUpdate(ListUpdateKind.COMPLETE, (endpoints[2],)), START_US)
     assert current_counts() == (0, 0)
+
+
+def test_start_in_the_future_without_slow_start_counts_as_warm() -> None:
+    """Guards against a division by the length of the slow start window, which failed every later list."""
+    endpoint_set = EndpointSet(Settings(CLASSES, slow_start_window_us=0), Random(1))
+    endpoint = Endpoint(1, started_at_us=START_US + US_PER_S)
+    endpoint_set.apply(EndpointListUpdate(ListUpdateKind.COMPLETE, (endpoint,)), START_US)
+    assert endpoint_set.slow_start.capacity_fraction(endpoint, START_US) == 1
+    assert [tracked.id for tracked in endpoint_set.subset.members] == [1]
