Call a new discovery service in time for the limit after SIGHUP

Cause: after SIGHUP a session waited for the next poll slot, up to 5 s away, whatever the limit of 4 s after which a change counts as received. Nothing in `PollSchedule` knew of a limit. The slots came from the wall clock, so that a step of it moved them.

Change: the schedule derives the first call from the limit, less the measured answer time (1 s at least) and the hold-up of 0.15 s. Gateways spread over that time by index, count and jitter; a fleet of up to 28 gateways spreads over 0.1 s for each. A limit that is still ahead is not put off by a second SIGHUP. The limit counts from the signal, not from the reload. All times come from the monotonic clock. A session makes calls when the schedule says so, and an unanswered call no longer delays the next one to a shared service. Calls are answered by their first line.

Three tests of the poll slot named what is replaced (slots of Unix time); in their place the positions in the spread are checked.

Lost: gateways that switch together call within 2.85 s in place of 5 s, so the peak of calls is higher. A call to a shared service that takes over 2 s (small fleets) or 4.85 s (from 49 gateways on) is overlapped by another one.

Run: tests of the schedule, the limits, discovery, reload and large lists. Not run on this commit: the others.

--- a/http_gateway/net/config_reload.py
+++ b/http_gateway/net/config_reload.py
@@ -44,11 +44,13 @@
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
         self._reloaded_at_s = -math.inf
+        self._requested_at_s = -math.inf  # the first request that the next reload answers
 
     def request_reload(self) -> None:
         """Reload soon; requests that come before that are answered by the same reload."""
         if self._timer is None:
-            due_at_s = max(self._loop.time(), self._reloaded_at_s + MIN_RELOAD_INTERVAL_S)
+            self._requested_at_s = self._loop.time()
+            due_at_s = max(self._requested_at_s, self._reloaded_at_s + MIN_RELOAD_INTERVAL_S)
             self._timer = self._loop.call_at(due_at_s, self._reload)
 
     def stop(self) -> None:
@@ -73,7 +75,7 @@
             return
         self._config = replace(self._config, discovery_address=loaded.discovery_address)
         log.info("reload switched discovery address=%s:%d", *loaded.discovery_address)
-        self._discovery.switch_to(loaded.discovery_address)
+        self._discovery.switch_to(loaded.discovery_address, self._requested_at_s)
 
     def _warn_about_ignored_changes(self, loaded: GatewayConfig) -> None:
         # Each new file has another seed and another cached list. The gateway uses both at startup only, so a
--- a/http_gateway/net/discovery/client.py
+++ b/http_gateway/net/discovery/client.py
@@ -38,38 +38,44 @@
     ) -> None:
         self._max_document_bytes = max_document_bytes
         self._on_list = on_list
-        self._settings = settings
-        self._random = Random()
+        self._schedule = PollSchedule(settings, Random())
+        self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
         self.service_responded = asyncio.Event()
         self._session = self._new_session(address, revision)
 
     def start(self) -> None:
         """Start to watch the discovery service."""
-        task = asyncio.get_running_loop().create_task(self._session.run())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._schedule.on_start(self._loop.time())
+        self._run_session()
 
     def stop(self) -> None:
         """Cancel the watch and all pending calls."""
         for task in self._tasks:
             task.cancel()
 
-    def switch_to(self, address: Address) -> None:
+    def switch_to(self, address: Address, requested_at_s: float | None = None) -> None:
         """Watch another service, starting with its complete list.
 
         The current endpoint list stays in use until that list arrives.
 
         Args:
             address: The address of the other service.
+            requested_at_s: Loop time at which the switch was requested; None means now.
         """
         self.stop()
         self._session.close()
+        now_s = self._loop.time()
+        self._schedule.on_switch(now_s, now_s if requested_at_s is None else requested_at_s)
         self._session = self._new_session(address, revision=0)
-        self.start()
+        self._run_session()
+
+    def _run_session(self) -> None:
+        task = self._loop.create_task(self._session.run())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def _new_session(self, address: Address, revision: int) -> DiscoverySession:
-        schedule = PollSchedule(self._settings, self._random)
         return DiscoverySession(
-            address, revision, schedule, self._on_list, self.service_responded, self._max_document_bytes
+            address, revision, self._schedule, self._on_list, self.service_responded, self._max_document_bytes
         )
--- a/http_gateway/net/discovery/poll_schedule.py
+++ b/http_gateway/net/discovery/poll_schedule.py
@@ -1,58 +1,100 @@
-"""Timing of the calls to a discovery service."""
+"""Timing of the calls to a discovery service.
+
+Every change of the endpoint list (an endpoint starts, drains or is removed) counts as received by the gateway
+from a certain moment on, even if the gateway has not received it. From that moment, the notification limit,
+the gateway is expected to respect the change: the drain grace period of a draining endpoint begins, and
+requests that the gateway sends to an endpoint that has started count against the slow start limit of that
+endpoint.
+
+A local agent responds at once or not at all, and a change counts as received as soon as the agent has it.
+Calls to it follow each other at a short fixed delay, which allows several calls within the drain grace
+period.
+
+A shared service has a fixed capacity for all gateways, so that their calls must be spread out. The limit is:
+
+- after SIGHUP: `RELOAD_LIMIT_S` after the signal;
+- after a start, and once the service can be reached again: `CHANGE_LIMIT_S` later.
+
+With the answer time A (from the start of a call until its list is applied), the longest hold-up of the
+process H, N gateways, the spacing S and the time T that is left until the limit, a gateway makes the first
+call within
+
+    spread = min(N * S, max(T - A - H, MIN_SPREAD_S))
+
+and, while it has no list, a further call within
+
+    interval = min(max(N * S, MIN_RETRY_INTERVAL_S), max(CHANGE_LIMIT_S - A - H, MIN_RETRY_INTERVAL_S))
+
+after the start of the previous one, whether or not that one has been answered. Each prompt rejection doubles
+that interval. The worst case, in seconds after SIGHUP, is
+
+    spread + A + H
+
+It keeps the limit L as long as A <= L - H - min(N * S, MIN_SPREAD_S). A watch that ends is replaced within
+`POLL_INTERVAL_S`.
+"""
 
 from __future__ import annotations
 
+import math
 from random import Random
 
+from http_gateway.policy.hold_up_margin import MAX_HOLD_UP_US
 from http_gateway.policy.settings import Settings
 from http_gateway.policy.time_units import US_PER_S
 
-# A local discovery agent responds at once or not at all. Every change of the endpoint list (an endpoint
-# starts, drains or is removed) counts as received by the gateway as soon as the agent has it, even if the
-# gateway has not received it. From that time on, the gateway is expected to respect the change: the drain
-# grace period of a draining endpoint begins, and requests that the gateway sends to an endpoint that has
-# started count against the slow start limit of that endpoint. The delay between calls allows several calls
-# within the drain grace period.
+# The delay between two calls to a local agent.
 RETRY_DELAY_FRACTION = 0.2  # of the drain grace period
 MIN_RETRY_DELAY_S = 0.02
 MAX_RETRY_DELAY_S = 0.5
 
-# With a shared service, every change of the endpoint list (an endpoint starts, drains or is removed) counts
-# as received by the gateway at the latest 6 s after discovery has the change, even if the gateway has not
-# received it. From that time on, the gateway is expected to respect the change: the drain grace period of a
-# draining endpoint begins, and requests that the gateway sends to an endpoint that has started count against
-# the slow start limit of that endpoint. Calls every 5 s leave 1 s for the response.
-POLL_INTERVAL_S = 5.0
-MAX_BACKOFF_INTERVALS = 16
+RELOAD_LIMIT_S = 4.0
+CHANGE_LIMIT_S = 6.0
+MAX_HOLD_UP_S = MAX_HOLD_UP_US / US_PER_S
+# The answer time that is allowed for before a longer one has been measured.
+MIN_ANSWER_TIME_S = 1.0
+# A small fleet calls sooner than the limit requires, which leaves more time for slow answers.
+GATEWAY_SPACING_S = 0.1
+# Fleets with little or no time left before the limit still spread their calls over this time.
+MIN_SPREAD_S = 1.0
+MIN_RETRY_INTERVAL_S = 2.0
+# Gateways that retry together spread out, as each draws the end of its interval from this fraction on.
+MIN_RETRY_JITTER = 0.7
 # A rejection within this time means that the service is overloaded, and increases the backoff. A later
 # rejection is a sign of an outage, and does not increase the backoff.
 PROMPT_REJECTION_S = 0.5
+MAX_BACKOFF_DOUBLINGS = 4
+POLL_INTERVAL_S = 5.0  # after a watch has ended
 
 
 class PollSchedule:
-    """Decides when to make the next call to one discovery service.
+    """Decides when to make the next call to a discovery service; it reads no clock.
 
-    A local agent that pushes lists serves only this gateway: calls to it follow each other at a short fixed
-    delay. A shared service serves all gateways. Each gateway calls it once per poll interval, at an offset of
-    its own (its poll slot), so that the calls are spread evenly. A shared service that rejects a call
-    promptly is overloaded. Each prompt rejection doubles the number of poll intervals from which the gateway
-    picks one at random for its next call.
+    All times are in seconds of one monotonic clock.
 
     Args:
         settings: The settings of the gateway, with the kind of discovery and the index of this gateway.
-        random: Random number generator that picks the poll interval.
+        random: Random number generator of the jitter.
+
+    Attributes:
+        due_at_s: When the next call is due while there is no watch.
     """
 
     def __init__(self, settings: Settings, random: Random) -> None:
         self._is_polled = settings.discovery_is_polled
         self._is_shared = self._is_polled
         drain_grace_s = settings.drain_grace_us / US_PER_S
-        self._retry_delay_s = min(
+        self._agent_retry_delay_s = min(
             MAX_RETRY_DELAY_S, max(MIN_RETRY_DELAY_S, RETRY_DELAY_FRACTION * drain_grace_s)
         )
-        self._slot_offset_s = POLL_INTERVAL_S * settings.gateway_index / settings.gateway_count
+        self._gateway_count = settings.gateway_count
+        self._gateway_index = settings.gateway_index
         self._random = random
-        self._backoff_intervals = 1
+        self._answer_time_s = MIN_ANSWER_TIME_S
+        self._backoff_doublings = 0
+        self._limit_at_s: float | None = None  # None while the latest list has arrived
+        self._last_call_at_s = -math.inf
+        self.due_at_s = -math.inf
 
     @property
     def is_shared(self) -> bool:
@@ -60,25 +102,51 @@
         return self._is_shared
 
     @property
-    def backoff_intervals(self) -> int:
-        """Number of poll intervals from which the next call picks one at random."""
-        return self._backoff_intervals
+    def retry_interval_s(self) -> float:
+        """The longest time between the starts of two calls while there is no watch."""
+        if not self._is_shared:
+            return self._agent_retry_delay_s
+        shortest_s = max(MIN_RETRY_INTERVAL_S, self._gateway_count * GATEWAY_SPACING_S)
+        longest_s = max(MIN_RETRY_INTERVAL_S, CHANGE_LIMIT_S - self._time_after_call_s)
+        backoff_factor: int = 2**self._backoff_doublings
+        return min(shortest_s, longest_s) * backoff_factor
 
-    @property
-    def overlap_delay_s(self) -> float | None:
-        """Delay before another call while one is unanswered, in seconds; None if calls must not overlap."""
-        return None if self._is_shared else self._retry_delay_s
+    def on_start(self, now_s: float) -> None:
+        """Schedule the first call of a new process.
 
-    def next_delay_s(self, now_s: float) -> float:
-        """Return the delay before the next call, in seconds.
+        Args:
+            now_s: The current time.
+        """
+        self._schedule_first_call(now_s, now_s + CHANGE_LIMIT_S)
+
+    def on_switch(self, now_s: float, requested_at_s: float) -> None:
+        """Schedule the first call to another service.
 
         Args:
-            now_s: The current Unix time in seconds, from which all gateways derive their poll slots.
+            now_s: The current time.
+            requested_at_s: When the switch was requested.
         """
-        if not self._is_shared:
-            return self._retry_delay_s
-        until_slot_s = (self._slot_offset_s - now_s) % POLL_INTERVAL_S
-        return until_slot_s + POLL_INTERVAL_S * self._random.randrange(self._backoff_intervals)
+        self._reset_backoff()
+        self._last_call_at_s = -math.inf
+        self._schedule_first_call(now_s, requested_at_s + RELOAD_LIMIT_S)
+
+    def on_watch_ended(self, now_s: float) -> None:
+        """Schedule the call that replaces an ended watch.
+
+        Args:
+            now_s: The current time.
+        """
+        delay_s = POLL_INTERVAL_S * self._draw_position() if self._is_shared else self._agent_retry_delay_s
+        self.due_at_s = now_s + delay_s
+
+    def on_call_started(self, now_s: float) -> None:
+        """Schedule the next call, which is made if this one has brought no list by then.
+
+        Args:
+            now_s: The current time.
+        """
+        self._last_call_at_s = now_s
+        self.due_at_s = self._draw_retry_at_s()
 
     def on_rejected(self, after_s: float) -> None:
         """Adapt the schedule to a rejected call.
@@ -90,9 +158,52 @@
         """
         self._is_shared = True
         if after_s < PROMPT_REJECTION_S:
-            self._backoff_intervals = min(2 * self._backoff_intervals, MAX_BACKOFF_INTERVALS)
+            self._backoff_doublings = min(self._backoff_doublings + 1, MAX_BACKOFF_DOUBLINGS)
+        self.due_at_s = self._draw_retry_at_s()
+
+    def on_list_received(self, answer_time_s: float | None) -> None:
+        """Return to the schedule that the settings prescribe, after the service has sent a list.
+
+        Args:
+            answer_time_s: Seconds from the start of the call until the list was applied; None if it is not
+                the first list of its watch.
+        """
+        self._limit_at_s = None
+        self._reset_backoff()
+        if answer_time_s is not None:
+            self._answer_time_s = max(MIN_ANSWER_TIME_S, answer_time_s)
 
-    def on_list_received(self) -> None:
-        """Return to the schedule that the settings prescribe, after the service has sent a list."""
+    @property
+    def _time_after_call_s(self) -> float:
+        """The time that must be left before the limit when a call is made."""
+        return self._answer_time_s + MAX_HOLD_UP_S
+
+    def _reset_backoff(self) -> None:
         self._is_shared = self._is_polled
-        self._backoff_intervals = 1
+        self._backoff_doublings = 0
+
+    def _draw_retry_at_s(self) -> float:
+        jitter = self._random.uniform(MIN_RETRY_JITTER, 1.0) if self._is_shared else 1.0
+        return self._last_call_at_s + jitter * self.retry_interval_s
+
+    def _schedule_first_call(self, now_s: float, limit_at_s: float) -> None:
+        """Schedule a call at this gateway's own time within the spread of the fleet.
+
+        A limit that is still ahead, and the call that was scheduled for it, are not put off by a later event.
+        """
+        is_waiting = self._limit_at_s is not None
+        if self._limit_at_s is not None and self._limit_at_s > now_s:
+            limit_at_s = min(limit_at_s, self._limit_at_s)
+        self._limit_at_s = limit_at_s
+        due_at_s = now_s + self._draw_position() * self._spread_s(limit_at_s - now_s)
+        self.due_at_s = min(due_at_s, self.due_at_s) if is_waiting else due_at_s
+
+    def _draw_position(self) -> float:
+        """Return this gateway's position in the spread of the fleet, from 0 to 1."""
+        return (self._gateway_index + self._random.random()) / self._gateway_count
+
+    def _spread_s(self, until_limit_s: float) -> float:
+        if not self._is_shared:
+            return 0.0
+        longest_s = max(MIN_SPREAD_S, until_limit_s - self._time_after_call_s)
+        return min(self._gateway_count * GATEWAY_SPACING_S, longest_s)
--- a/http_gateway/net/discovery/watch.py
+++ b/http_gateway/net/discovery/watch.py
@@ -13,15 +13,9 @@
 from http_gateway.net.http.shared_buffer import RECEIVE_BUFFER_BYTES, SharedBufferProtocol
 
 # The service sends an empty line every 2 s on an open watch, so a longer silence means that the watch has
-# failed. Every change of the endpoint list (an endpoint starts, drains or is removed) counts as received by
-# the gateway at the latest 6 s after discovery has the change, or 6 s after the watch fell silent, even if
-# the gateway has not received it. From that time on, the gateway is expected to respect the change: the drain
-# grace period of a draining endpoint begins, and requests that the gateway sends to an endpoint that has
-# started count against the slow start limit of that endpoint. Closing a silent watch after 2.5 s leaves
-# enough of the 6 s to open another one.
+# failed.
 WATCH_IDLE_TIMEOUT_S = 2.5
-# An unanswered call, including the time to connect, ends before the next poll slot of the gateway.
-RESPONSE_TIMEOUT_S = 4.0
+RESPONSE_TIMEOUT_S = 4.0  # from the request to the first line
 # Bytes that are read at once: some thirty lines with one change each. A list that is longer is read faster.
 READ_BYTES = 8 * 1024
 
@@ -63,8 +57,11 @@
         max_document_bytes: The largest document that is accepted.
 
     Attributes:
-        accepted: Resolves to whether the service has accepted the call; False if the watch ended before that.
+        answered: Resolves to whether the first line has arrived; False if the watch ended before that.
         ended: Resolves to the reason for the end, once the watch has ended.
+        called_at_s: Loop time at which the call was started.
+        last_line_at_s: Loop time of the last complete line, before the first line that of the response head,
+            and before the head that of the start of the call.
     """
 
     def __init__(
@@ -79,16 +76,27 @@
         self._requested_at_s = 0.0
         self._timeout: asyncio.TimerHandle | None = None
         self._is_paused = False
-        self.accepted: asyncio.Future[bool] = self._loop.create_future()
+        self.answered: asyncio.Future[bool] = self._loop.create_future()
+        self.called_at_s = self._loop.time()
+        self.last_line_at_s = self.called_at_s
+        self._has_responded = False
         self.ended: asyncio.Future[str] = self._loop.create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the request on the new connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        if self.ended.done():
+            transport.abort()
+            return
         self._requested_at_s = self._loop.time()
         transport.write(self._request)
-        self._restart_timeout(RESPONSE_TIMEOUT_S)
+        self._timeout = self._loop.call_later(RESPONSE_TIMEOUT_S, self.end, "timeout")
+
+    @property
+    def stalled_at_s(self) -> float | None:
+        """Loop time from which the watch is silent if no line arrives; None before the response head."""
+        return self.last_line_at_s + WATCH_IDLE_TIMEOUT_S if self._has_responded else None
 
     def next_read_bytes(self) -> int:
         """Return how many bytes the next read may have."""
@@ -104,8 +112,8 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.end(_describe(error))
         # The timeout is not restarted while a document is incomplete: the rest must arrive before it expires.
-        if not self._documents.has_partial_document and not self._is_paused and not self.ended.done():
-            self._restart_timeout(WATCH_IDLE_TIMEOUT_S)
+        if not self._documents.has_partial_document:
+            self._on_line_complete()
 
     def pause_reading(self) -> None:
         """Read no more until `resume_reading`; what the service sends meanwhile waits in the socket."""
@@ -121,7 +129,7 @@
         self._is_paused = False
         if not self.ended.done():
             self._transport.resume_reading()
-            self._restart_timeout(WATCH_IDLE_TIMEOUT_S)
+            self._restart_timeout()
 
     def on_headers_complete(self) -> None:
         """Check the response status; called by the parser.
@@ -134,10 +142,6 @@
         if status != HTTPStatus.OK:
             self._listener.on_rejected(self._loop.time() - self._requested_at_s)
             raise WatchRejectedError(status)
-        if not self._listener.try_activate(self):
-            self.end("another watch is active")
-        elif not self.accepted.done():
-            self.accepted.set_result(True)
 
     def on_body(self, data: bytes) -> None:
         """Pass complete documents to the listener; called by the parser.
@@ -147,6 +151,8 @@
         """
         for document in self._documents.feed(data):
             self._listener.on_document(self, document)
+        if not self._documents.has_partial_document and not self.answered.done():
+            self._on_first_line()
 
     def on_message_complete(self) -> None:
         """End the watch, as the response is complete; called by the parser."""
@@ -168,19 +174,31 @@
         if self._transport is not None:
             self._transport.abort()
         self._documents.discard()
-        if not self.accepted.done():
-            self.accepted.set_result(False)
+        if not self.answered.done():
+            self.answered.set_result(False)
         if not self.ended.done():
             self.ended.set_result(reason)
 
-    def _restart_timeout(self, timeout_s: float) -> None:
-        """Schedule the end of the watch after a timeout, and cancel the previous timeout.
+    def _on_first_line(self) -> None:
+        if self._listener.try_activate(self):
+            self.answered.set_result(True)
+        else:
+            self.end("another watch is active")
+
+    def _on_line_complete(self) -> None:
+        self._has_responded = True
+        self.last_line_at_s = self._loop.time()
+        if self.answered.done() and not self._is_paused and not self.ended.done():
+            self._restart_timeout()
+
+    def _restart_timeout(self) -> None:
+        """Schedule the end of the watch after the idle timeout, and cancel the previous timeout.
 
         TCP alone does not detect that an idle peer has become unreachable.
         """
         if self._timeout is not None:
             self._timeout.cancel()
-        self._timeout = self._loop.call_later(timeout_s, self.end, "timeout")
+        self._timeout = self._loop.call_later(WATCH_IDLE_TIMEOUT_S, self.end, "timeout")
 
 
 def _describe(error: Exception) -> str:
--- a/tests/integration/test_discovery_client.py
+++ b/tests/integration/test_discovery_client.py
@@ -8,10 +8,15 @@
 import pytest
 
 from http_gateway.net.discovery import client as client_module
-from http_gateway.net.discovery import poll_schedule, session
+from http_gateway.net.discovery import session
 from http_gateway.net.discovery.client import DiscoveryClient
 from http_gateway.net.discovery.endpoint_list import EndpointList
-from http_gateway.net.discovery.poll_schedule import PollSchedule
+from http_gateway.net.discovery.poll_schedule import (
+    GATEWAY_SPACING_S,
+    MIN_RETRY_INTERVAL_S,
+    RETRY_DELAY_FRACTION,
+    PollSchedule,
+)
 from http_gateway.net.discovery.watch import DiscoveryWatch
 from http_gateway.net.http.messages import Message
 from http_gateway.net.memory.plan import MAX_DOCUMENT_BYTES
@@ -40,10 +45,8 @@
 
 @pytest.mark.parametrize("switches", [False, True])
 @async_test
-async def test_first_poll_waits_for_the_poll_slot(monkeypatch: pytest.MonkeyPatch, switches: bool) -> None:
+async def test_first_poll_waits_for_the_position_of_the_gateway(switches: bool) -> None:
     """Guards against simultaneous calls of gateways that restart or switch to another service together."""
-    monkeypatch.setattr(poll_schedule, "POLL_INTERVAL_S", 0.4)
-    monkeypatch.setattr("time.time", lambda: 0.0)
     async with start_peers(accept_watch) as (service,):
         loop = asyncio.get_running_loop()
         lists: list[EndpointList] = []
@@ -57,7 +60,7 @@
         else:
             client.start()
         await wait_until(lambda: service.requests)
-        assert loop.time() - started_at_s >= 0.3 - 0.01
+        assert loop.time() - started_at_s >= 3 * GATEWAY_SPACING_S - 0.01
         client.stop()
 
 
@@ -77,9 +80,9 @@
     class RecordingSchedule(PollSchedule):
         """A schedule that records each delay."""
 
-        def next_delay_s(self, now_s: float) -> float:
-            delays_s.append(super().next_delay_s(now_s))
-            return delays_s[-1]
+        def on_watch_ended(self, now_s: float) -> None:
+            super().on_watch_ended(now_s)
+            delays_s.append(self.due_at_s - now_s)
 
     async def script(request: Message, writer: asyncio.StreamWriter) -> None:
         writer.write(WATCH_HEAD + chunk(list_document(41 + len(service.requests))))
@@ -167,7 +170,7 @@
             watches.append((self, transport))
 
     def accepted_transports() -> list[asyncio.BaseTransport]:
-        return [transport for watch, transport in watches if watch.accepted.done() and not watch.ended.done()]
+        return [transport for watch, transport in watches if watch.stalled_at_s and not watch.ended.done()]
 
     monkeypatch.setattr(session, "DiscoveryWatch", RecordedWatch)
     async with (
@@ -208,18 +211,26 @@
 
 
 @async_test
-async def test_rejected_call_makes_the_client_use_poll_slots_until_the_next_list(
+async def test_rejected_call_makes_the_client_call_less_often_until_the_next_list(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Only a shared service rejects calls, and frequent calls would keep it overloaded."""
-    states: list[tuple[bool, int]] = []
+    states: list[tuple[bool, float]] = []
 
     class RecordingSchedule(PollSchedule):
-        """A schedule that records its state and never delays a call."""
+        """A schedule that records its state and does not delay a call after a rejection or a watch."""
+
+        def on_rejected(self, after_s: float) -> None:
+            super().on_rejected(after_s)
+            self._record()
+
+        def on_watch_ended(self, now_s: float) -> None:
+            super().on_watch_ended(now_s)
+            self._record()
 
-        def next_delay_s(self, now_s: float) -> float:
-            states.append((self.is_shared, self.backoff_intervals))
-            return 0.0
+        def _record(self) -> None:
+            states.append((self.is_shared, self.retry_interval_s))
+            self.due_at_s = 0.0
 
     async def script(request: Message, writer: asyncio.StreamWriter) -> None:
         if len(service.requests) == 1:
@@ -238,4 +249,5 @@
         await wait_until(lambda: len(service.requests) == 3)
         assert client.service_responded.is_set()
         assert [is_shared for is_shared, _ in states] == [True, False]
-        assert states[1] == (False, 1)
+        assert states[0][1] >= MIN_RETRY_INTERVAL_S
+        assert states[1] == (False, RETRY_DELAY_FRACTION * PUSHED_SETTINGS.drain_grace_us / US_PER_S)
--- /dev/null
+++ b/tests/unit/net/test_discovery_limits.py
@@ -0,0 +1,107 @@
+"""Gateways receive each change of the endpoint list before it counts as received; in virtual time.
+
+A change counts as received at the latest 4 s after SIGHUP, 6 s after a watch fell silent, and 6 s after
+discovery had the change and could be reached.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import pairwise
+from random import Random
+
+import pytest
+
+from tests.support.discovery_fleet import DiscoveryFleet, VirtualDiscovery, polled_fleet
+from tests.support.virtual_time import VirtualTimeLoop, run_in_virtual_time
+
+RELOAD_LIMIT_S = 4.0
+CHANGE_LIMIT_S = 6.0
+MAX_HOLD_UP_S = 0.15
+FLEET_SIZES = [1, 3, 30, 230]
+# Gateways and seeds of the drawn moments and delays.
+DRAWS = [(gateway_count, seed) for gateway_count in (1, 3, 30) for seed in range(10)]
+DRAWS += [(230, seed) for seed in range(3)]
+# What a service of fixed capacity needs for one call of each gateway of a large fleet, and for one call.
+FLEET_SERVICE_TIME_S = 2.0
+MAX_SERVICE_TIME_S = 0.3
+SETTLED_AFTER_S = 30.0
+
+
+async def settle(fleet: DiscoveryFleet, random: Random) -> None:
+    """Start a fleet, and let it watch until a drawn moment."""
+    fleet.start()
+    await asyncio.sleep(SETTLED_AFTER_S + random.uniform(0.0, 10.0))
+    assert fleet.last_notified_at_s() < 1000.0 + SETTLED_AFTER_S
+
+
+def longest_answer_s(limit_s: float, detection_s: float, gateway_count: int) -> float:
+    """Return the longest answer time with which a fleet can keep a limit after its calls are spread."""
+    return limit_s - detection_s - MAX_HOLD_UP_S - min(0.1 * gateway_count, 1.0)
+
+
+@pytest.mark.parametrize(("gateway_count", "seed"), DRAWS)
+def test_new_discovery_is_called_within_the_limit_after_sighup(seed: int, gateway_count: int) -> None:
+    """Guards against a first call that waits for a poll slot up to 5 s away (review/10)."""
+
+    async def main(loop: VirtualTimeLoop) -> None:
+        random = Random(seed)
+        with polled_fleet(loop, gateway_count, seed) as fleet:
+            delay_s = random.uniform(0.0, longest_answer_s(RELOAD_LIMIT_S, 0.0, gateway_count))
+            fleet.service.answer_delay_s = delay_s
+            await settle(fleet, random)
+            service = VirtualDiscovery(loop)
+            service.answer_delay_s = delay_s
+            reloaded_at_s = loop.time()
+            fleet.switch_to(service)
+            service.publish()
+            await asyncio.sleep(SETTLED_AFTER_S)
+            assert fleet.last_notified_at_s() <= reloaded_at_s + RELOAD_LIMIT_S - MAX_HOLD_UP_S
+
+    run_in_virtual_time(main)
+
+
+@pytest.mark.parametrize(("gateway_count", "seed"), DRAWS)
+def test_new_configurations_in_quick_succession_do_not_put_the_call_off(
+    seed: int, gateway_count: int
+) -> None:
+    """Guards against a limit that begins anew with each SIGHUP, so that no call is ever made."""
+
+    async def main(loop: VirtualTimeLoop) -> None:
+        random = Random(seed)
+        with polled_fleet(loop, gateway_count, seed) as fleet:
+            await settle(fleet, random)
+            reloaded_at_s = loop.time()
+            services = [VirtualDiscovery(loop) for _ in range(2)]
+            services[1].publish()
+            services[0].is_dead = True
+            fleet.switch_to(services[0])
+            await asyncio.sleep(random.uniform(0.1, RELOAD_LIMIT_S - 1.3))
+            fleet.switch_to(services[1])
+            await asyncio.sleep(SETTLED_AFTER_S)
+            assert fleet.last_notified_at_s() <= reloaded_at_s + RELOAD_LIMIT_S - MAX_HOLD_UP_S
+
+    run_in_virtual_time(main)
+
+
+@pytest.mark.parametrize("gateway_count", FLEET_SIZES)
+def test_fleet_that_starts_is_notified_within_the_limit_and_spreads_its_calls(gateway_count: int) -> None:
+    """Guards against simultaneous calls of all gateways, which overload the discovery service."""
+
+    async def main(loop: VirtualTimeLoop) -> None:
+        with polled_fleet(loop, gateway_count, seed=1) as fleet:
+            fleet.service.service_time_s = min(FLEET_SERVICE_TIME_S / gateway_count, MAX_SERVICE_TIME_S)
+            fleet.start()
+            await asyncio.sleep(SETTLED_AFTER_S)
+            assert fleet.last_notified_at_s() <= 1000.0 + CHANGE_LIMIT_S - MAX_HOLD_UP_S
+            times_s = sorted(fleet.service.call_times_s)
+            assert len(times_s) == gateway_count
+            assert calls_per_second(times_s) <= max(11, gateway_count / 4)
+            assert max(after - before for before, after in pairwise([1000.0, *times_s])) < 0.25
+
+    run_in_virtual_time(main)
+
+
+def calls_per_second(times_s: list[float]) -> int:
+    """Return the largest number of calls within one second."""
+    return max(sum(start <= at_s < start + 1.0 for at_s in times_s) for start in times_s)
--- a/tests/unit/test_poll_schedule.py
+++ b/tests/unit/test_poll_schedule.py
@@ -2,74 +2,112 @@
 
 from __future__ import annotations
 
-import itertools
 from random import Random
 
 import pytest
-
-from http_gateway.net.discovery.poll_schedule import MAX_BACKOFF_INTERVALS, POLL_INTERVAL_S, PollSchedule
+from hypothesis import given
+from hypothesis import strategies as st
+
+from http_gateway.net.discovery.poll_schedule import (
+    CHANGE_LIMIT_S,
+    GATEWAY_SPACING_S,
+    MAX_HOLD_UP_S,
+    MIN_ANSWER_TIME_S,
+    MIN_RETRY_INTERVAL_S,
+    MIN_SPREAD_S,
+    RELOAD_LIMIT_S,
+    PollSchedule,
+)
 from tests.support.discovery import PUSHED_SETTINGS, polled_settings
 
+TIMES_S = st.floats(0.0, 1e6)
 
-def poll_times_s(gateway_count: int, now_s: float, rejections: int = 0) -> list[float]:
-    """Return the Unix time of the next call of each gateway.
 
-    Args:
-        gateway_count: The number of gateways.
-        now_s: The current Unix time in seconds.
-        rejections: The number of prompt rejections that each gateway has received before.
-    """
-    times_s = []
-    for gateway_index in range(gateway_count):
-        schedule = PollSchedule(polled_settings(gateway_count, gateway_index), Random())
-        for _ in range(rejections):
-            schedule.on_rejected(after_s=0.003)
-        times_s.append(now_s + schedule.next_delay_s(now_s))
-    return times_s
+def new_schedule(gateway_count: int, gateway_index: int = 0, answer_time_s: float = 0.0) -> PollSchedule:
+    """Return the schedule of a gateway with polled discovery, which has measured an answer time."""
+    schedule = PollSchedule(polled_settings(gateway_count, gateway_index), Random())
+    schedule.on_list_received(answer_time_s)
+    return schedule
+
+
+@st.composite
+def gateways(draw: st.DrawFn) -> tuple[int, int]:
+    """Draw the number of gateways, and the index of one."""
+    gateway_count = draw(st.integers(1, 2000))
+    return gateway_count, draw(st.integers(0, gateway_count - 1))
 
 
-@pytest.mark.parametrize("now_s", [1_800_000_000.0, 1_800_000_003.21])
+@pytest.mark.parametrize("now_s", [0.0, 1_800_000_003.21])
 @pytest.mark.parametrize("gateway_count", [3, 40, 230, 1024])
-def test_gateways_poll_once_per_interval_in_distinct_slots(gateway_count: int, now_s: float) -> None:
+def test_gateways_that_start_together_call_in_distinct_slots(gateway_count: int, now_s: float) -> None:
     """Guards against simultaneous calls of all gateways, which overload the discovery service.
 
-    When discovery becomes reachable after an outage, a change of the endpoint list counts as received by each
-    gateway 6 s later, even if the gateway has not received it. From that time on, the gateway is expected to
-    respect the change. A service that all gateways call at once answers none of them in time. On the test
-    bench it took 3 to 8 s, with 60 gateways as with 200.
+    A service that all gateways call at once answers none of them in time. On the test bench it took 3 to 8 s,
+    with 60 gateways as with 200.
     """
-    times_s = sorted(poll_times_s(gateway_count, now_s))
-    assert times_s[-1] < now_s + POLL_INTERVAL_S <= now_s + 5
-    gaps_s = [after - before for before, after in itertools.pairwise(times_s)]
-    assert min(gaps_s) > 0.99 * POLL_INTERVAL_S / gateway_count
-
-
-def test_promptly_rejected_gateways_spread_their_polls_over_several_intervals() -> None:
-    """A service that rejects calls promptly cannot answer all gateways within one poll interval."""
-    rejections = MAX_BACKOFF_INTERVALS.bit_length()  # enough to reach the maximum backoff
-    times_s = poll_times_s(230, 0.0, rejections)
-    starts_s = [index * POLL_INTERVAL_S for index in range(MAX_BACKOFF_INTERVALS)]
-    max_polls = max(sum(start <= time < start + POLL_INTERVAL_S for time in times_s) for start in starts_s)
-    assert max_polls < 3 * 230 / MAX_BACKOFF_INTERVALS
+    spread_s = min(gateway_count * GATEWAY_SPACING_S, CHANGE_LIMIT_S - MIN_ANSWER_TIME_S - MAX_HOLD_UP_S)
+    for gateway_index in range(gateway_count):
+        schedule = new_schedule(gateway_count, gateway_index)
+        schedule.on_start(now_s)
+        position = (schedule.due_at_s - now_s) / spread_s * gateway_count
+        assert gateway_index - 0.01 <= position <= gateway_index + 1.01
+
+
+@given(gateways(), TIMES_S, st.floats(0.0, 10.0))
+def test_first_call_after_a_switch_leaves_time_for_the_answer(
+    gateway: tuple[int, int], now_s: float, answer_time_s: float
+) -> None:
+    """Guards against a call that is due when its answer comes too late (review/10)."""
+    schedule = new_schedule(*gateway, answer_time_s)
+    schedule.on_switch(now_s, requested_at_s=now_s)
+    least_s = min(MIN_SPREAD_S, gateway[0] * GATEWAY_SPACING_S)
+    latest_s = max(least_s, RELOAD_LIMIT_S - max(answer_time_s, MIN_ANSWER_TIME_S) - MAX_HOLD_UP_S)
+    assert 0.0 <= schedule.due_at_s - now_s <= latest_s + 1e-6
+
+
+def test_promptly_rejected_gateways_spread_their_polls() -> None:
+    """Gateways that call at the same time and are rejected together do not call together again."""
+    times_s = []
+    for gateway_index in range(230):
+        schedule = new_schedule(230, gateway_index)
+        schedule.on_call_started(0.0)
+        schedule.on_rejected(after_s=0.003)
+        times_s.append(schedule.due_at_s)
+    assert max(sum(start <= time < start + 0.1 for time in times_s) for start in times_s) < 0.15 * 230
 
 
 def test_only_prompt_rejections_increase_the_backoff() -> None:
-    """A late rejection is a sign of an outage, after which all gateways poll within one interval."""
-    schedule = PollSchedule(polled_settings(230), Random())
-    observed_intervals = []
+    """A late rejection is a sign of an outage, after which the gateways have to call soon."""
+    schedule = new_schedule(3)
+    observed_s = []
     for after_s in (2.0, 0.003, 0.003, 2.0):
         schedule.on_rejected(after_s)
-        observed_intervals.append(schedule.backoff_intervals)
-    assert observed_intervals == [1, 2, 4, 4]
-    schedule.on_list_received()
-    assert schedule.backoff_intervals == 1
+        observed_s.append(schedule.retry_interval_s)
+    assert observed_s == [factor * MIN_RETRY_INTERVAL_S for factor in (1, 2, 4, 4)]
+    schedule.on_list_received(0.0)
+    assert schedule.retry_interval_s == MIN_RETRY_INTERVAL_S
+
+
+def test_switch_keeps_a_limit_that_is_still_ahead() -> None:
+    """Guards against switches in quick succession that put the first call off again and again."""
+    schedule = new_schedule(230, 229)
+    schedule.on_switch(0.0, requested_at_s=0.0)
+    due_at_s = schedule.due_at_s
+    for now_s in (0.5, 1.0, 2.0, 2.5):
+        schedule.on_switch(now_s, requested_at_s=now_s)
+        assert schedule.due_at_s <= due_at_s
 
 
-def test_calls_to_a_local_agent_ignore_the_poll_slot_until_one_is_rejected() -> None:
+def test_calls_to_a_local_agent_are_not_spread_until_one_is_rejected() -> None:
     schedule = PollSchedule(PUSHED_SETTINGS, Random())
-    assert schedule.next_delay_s(0.0) == schedule.next_delay_s(1.7) == schedule.overlap_delay_s
+    schedule.on_start(1.0)
+    assert schedule.due_at_s == 1.0
+    schedule.on_call_started(1.0)
+    retry_delay_s = schedule.due_at_s - 1.0
+    assert retry_delay_s == pytest.approx(0.05)
     schedule.on_rejected(after_s=2.0)
-    assert schedule.overlap_delay_s is None
-    assert schedule.next_delay_s(1.0) == POLL_INTERVAL_S - 1.0
-    schedule.on_list_received()
-    assert schedule.next_delay_s(1.0) == schedule.overlap_delay_s
+    assert schedule.is_shared
+    assert schedule.due_at_s >= 1.0 + 0.5 * MIN_RETRY_INTERVAL_S
+    schedule.on_list_received(0.1)
+    schedule.on_watch_ended(9.0)
+    assert schedule.due_at_s == pytest.approx(9.0 + retry_delay_s)
