Keep a discovery call until it is answered, however slow the service is

Cause: `RESPONSE_TIMEOUT_S` ended each call after 4.0 s, and the next one began again at the end of the queue. Two related paths lose the time that a call has waited in the same way: a sixth overlapping call cancelled the oldest, which is the first to be answered (pushed lists, answers 0.5 s late, 50 ms between calls), and a response head without its list was ended after the idle timeout.

Change: a call has no time limit before its first line. The next one is made beside it when it is due, five at most. A further call takes the place of the second oldest, and that of the oldest only after 60 s, so that a service that died without a word does not hold a place for ever. A later call cannot be replaced by an earlier one.

Run: tests of the schedule, the limits, discovery, reload and large lists. Not run on this commit: the others.

--- a/http_gateway/net/discovery/session.py
+++ b/http_gateway/net/discovery/session.py
@@ -19,7 +19,8 @@
 log = logging.getLogger(__name__)
 
 MS_PER_S = 1000
-MAX_CONCURRENT_CALLS = 5  # a further call cancels the oldest one
+MAX_CONCURRENT_CALLS = 5
+MAX_CALL_AGE_S = 60.0  # an unanswered call that is older has probably lost its service
 ENTRIES_PER_STEP = 256  # entries of a list that are decoded without a return to the event loop
 
 
@@ -43,8 +44,9 @@
     """Keeps a watch on one discovery service open.
 
     A call is one HTTP request for a watch. After a watch has ended, the next call resumes from the last
-    revision that the service has sent. Calls overlap: an unanswered call does not delay the next one. The
-    first call that is answered becomes the watch, and ends the others.
+    revision that the service has sent. Calls overlap: an unanswered call does not delay the next one, and
+    goes on while the next one is made, because a slow service may still answer it. The first call that is
+    answered becomes the watch, and ends the others.
 
     Args:
         address: The address of the service.
@@ -224,10 +226,18 @@
             call.task.result()
 
     def _start_call(self) -> None:
-        """Make a further call, and give the oldest one up if there are too many."""
+        """Make a further call, and give one up if there are too many.
+
+        The oldest call is the first that a slow service answers, so the second oldest is given up, unless the
+        oldest has waited for too long.
+        """
         now_s = self._loop.time()
         if len(self._calls) >= MAX_CONCURRENT_CALLS:
-            self._calls.pop(0).task.cancel()
+            is_too_old = now_s - self._calls[0].watch.called_at_s > MAX_CALL_AGE_S
+            given_up = self._calls.pop(0 if is_too_old else 1)
+            given_up.task.cancel()
+            waited_s = now_s - given_up.watch.called_at_s
+            log.info("discovery call given up address=%s:%d waited_s=%.3f", *self._address, waited_s)
         watch = DiscoveryWatch(self._address, self._revision, self, self._max_document_bytes)
         self._calls.append(PendingCall(watch, self._loop.create_task(self._call(watch))))
         self._schedule.on_call_started(now_s)
--- a/http_gateway/net/discovery/watch.py
+++ b/http_gateway/net/discovery/watch.py
@@ -15,7 +15,6 @@
 # The service sends an empty line every 2 s on an open watch, so a longer silence means that the watch has
 # failed.
 WATCH_IDLE_TIMEOUT_S = 2.5
-RESPONSE_TIMEOUT_S = 4.0  # from the request to the first line
 # Bytes that are read at once: some thirty lines with one change each. A list that is longer is read faster.
 READ_BYTES = 8 * 1024
 
@@ -48,7 +47,8 @@
 class DiscoveryWatch(SharedBufferProtocol):
     """The connection of one call, which passes each received document to a listener.
 
-    It reads a little at a time, and the listener stops it from reading while documents wait to be applied.
+    It reads a little at a time, and the listener stops it from reading while documents wait to be applied. A
+    call has no time limit of its own until its first line has arrived, because it can still bring a list.
 
     Args:
         address: The address of the service.
@@ -91,7 +91,6 @@
             return
         self._requested_at_s = self._loop.time()
         transport.write(self._request)
-        self._timeout = self._loop.call_later(RESPONSE_TIMEOUT_S, self.end, "timeout")
 
     @property
     def stalled_at_s(self) -> float | None:
--- a/tests/integration/test_discovery_client.py
+++ b/tests/integration/test_discovery_client.py
@@ -32,6 +32,7 @@
     polled_settings,
     received_lists,
     running_client,
+    send,
 )
 from tests.support.loopback import (
     LoopbackPeer,
@@ -137,6 +138,22 @@
         assert max_open <= session.MAX_CONCURRENT_CALLS + 1
 
 
+@async_test
+async def test_slow_agent_brings_its_list() -> None:
+    """Guards against calls that are all given up before an answer that takes longer than five calls."""
+
+    async def answer_late(request: Message, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.5)
+        await send(writer, WATCH_HEAD + chunk(list_document(42)))
+
+    async with (
+        start_peers(answer_late) as (service,),
+        received_lists(service, 41, PUSHED_SETTINGS) as lists,
+    ):
+        await wait_until(lambda: lists)
+        assert len(service.requests) > session.MAX_CONCURRENT_CALLS
+
+
 @async_test
 async def test_only_the_first_of_two_accepted_watches_is_used() -> None:
     """Two calls are accepted in the same iteration of the event loop, one of them with an older list."""
--- a/tests/unit/net/test_discovery_limits.py
+++ b/tests/unit/net/test_discovery_limits.py
@@ -84,6 +84,37 @@
     run_in_virtual_time(main)
 
 
+@pytest.mark.parametrize("gateway_count", FLEET_SIZES)
+@pytest.mark.parametrize("answer_delay_s", [4.5, 9.0, 25.0])
+def test_call_is_not_given_up_while_the_service_is_slow(answer_delay_s: float, gateway_count: int) -> None:
+    """Guards against calls that are all given up before their answer, so that no list arrives (review/8)."""
+
+    async def main(loop: VirtualTimeLoop) -> None:
+        with polled_fleet(loop, gateway_count, seed=1) as fleet:
+            fleet.service.answer_delay_s = answer_delay_s
+            fleet.start()
+            await asyncio.sleep(answer_delay_s + CHANGE_LIMIT_S)
+            assert (
+                fleet.last_notified_at_s() <= 1000.0 + answer_delay_s + CHANGE_LIMIT_S - MAX_HOLD_UP_S - 1.0
+            )
+
+    run_in_virtual_time(main)
+
+
+@pytest.mark.parametrize("first_line_delay_s", [2.6, 4.5])
+def test_call_is_not_given_up_while_its_list_has_not_followed_its_head(first_line_delay_s: float) -> None:
+    """Guards against an idle timeout that ends each watch between the response head and the first list."""
+
+    async def main(loop: VirtualTimeLoop) -> None:
+        with polled_fleet(loop, 3, seed=1) as fleet:
+            fleet.service.first_line_delay_s = first_line_delay_s
+            fleet.start()
+            await asyncio.sleep(SETTLED_AFTER_S)
+            assert fleet.last_notified_at_s() <= 1000.0 + CHANGE_LIMIT_S - MAX_HOLD_UP_S
+
+    run_in_virtual_time(main)
+
+
 @pytest.mark.parametrize("gateway_count", FLEET_SIZES)
 def test_fleet_that_starts_is_notified_within_the_limit_and_spreads_its_calls(gateway_count: int) -> None:
     """Guards against simultaneous calls of all gateways, which overload the discovery service."""
@@ -102,6 +133,26 @@
     run_in_virtual_time(main)
 
 
+def test_older_list_does_not_replace_a_newer_one() -> None:
+    """The answer to an earlier call arrives after the answer to a later one."""
+
+    async def main(loop: VirtualTimeLoop) -> None:
+        with polled_fleet(loop, 1, seed=1) as fleet:
+            fleet.service.answer_delay_s = 5.0
+            fleet.start()
+            await asyncio.sleep(1.0)
+            fleet.service.answer_delay_s = 0.5
+            fleet.service.revision = 7
+            await asyncio.sleep(3.5)
+            assert fleet.last_notified_at_s() < loop.time()
+            fleet.service.revision = 6
+            await asyncio.sleep(SETTLED_AFTER_S)
+            assert {revision for _, revision in fleet.gateways[0].applied_at_s} == {7}
+            assert len(fleet.service.call_times_s) == 2
+
+    run_in_virtual_time(main)
+
+
 def calls_per_second(times_s: list[float]) -> int:
     """Return the largest number of calls within one second."""
     return max(sum(start <= at_s < start + 1.0 for at_s in times_s) for start in times_s)
