Bound the backoff of rejected discovery calls by the limit of a change

Cause: each prompt rejection doubled the interval between calls, up to 16 times, and nothing bounded it by the 6 s after which a change counts as received.

Change: the doubled interval ends at 6 s less the answer time and the hold-up, 4.85 s with answers within 1 s. A crowd still drains: each gateway makes one call in an interval, at a jittered time, and a call that is answered ends that gateway's calls.

Run: tests of the schedule and the limits.

--- a/http_gateway/net/discovery/poll_schedule.py
+++ b/http_gateway/net/discovery/poll_schedule.py
@@ -28,14 +28,16 @@
     interval = min(max(N * S, MIN_RETRY_INTERVAL_S), max(CHANGE_LIMIT_S - A - H, MIN_RETRY_INTERVAL_S))
 
 after the start of the previous one, whether or not that one has been answered. Each prompt rejection doubles
-that interval. With the time D until a silent watch is closed, the worst cases, in seconds
+the first part of the minimum. With the time D until a silent watch is closed, the worst cases, in seconds
 after the event (for a watch: after its last line), are
 
     SIGHUP                        spread + A + H
     silent watch                  D + spread + A + H
+    service reachable again       interval + A + H
 
-They keep the limit L as long as A <= L - D - H - min(N * S, MIN_SPREAD_S) (D = 0 unless a watch falls
-silent). A watch that ends within `interval` after its call is replaced at the end of that interval.
+They keep the limit L as long as A <= L - D - H - min(N * S, MIN_SPREAD_S) (D = 0 unless a watch falls silent)
+or, once the service can be reached again, A <= CHANGE_LIMIT_S - H - MIN_RETRY_INTERVAL_S. A watch that ends
+within `interval` after its call is replaced at the end of that interval.
 """
 
 from __future__ import annotations
@@ -67,7 +69,7 @@
 # A rejection within this time means that the service is overloaded, and increases the backoff. A later
 # rejection is a sign of an outage, and does not increase the backoff.
 PROMPT_REJECTION_S = 0.5
-MAX_BACKOFF_DOUBLINGS = 4
+MAX_BACKOFF_DOUBLINGS = 8
 
 
 class PollSchedule:
@@ -112,7 +114,7 @@
         shortest_s = max(MIN_RETRY_INTERVAL_S, self._gateway_count * GATEWAY_SPACING_S)
         longest_s = max(MIN_RETRY_INTERVAL_S, CHANGE_LIMIT_S - self._time_after_call_s)
         backoff_factor: int = 2**self._backoff_doublings
-        return min(shortest_s, longest_s) * backoff_factor
+        return min(shortest_s * backoff_factor, longest_s)
 
     def on_start(self, now_s: float) -> None:
         """Schedule the first call of a new process.
--- a/tests/unit/net/test_discovery_limits.py
+++ b/tests/unit/net/test_discovery_limits.py
@@ -163,6 +163,33 @@
     run_in_virtual_time(main)
 
 
+@pytest.mark.parametrize("outage", ["dead", "refuses_connections", "rejects_calls"])
+@pytest.mark.parametrize(("gateway_count", "seed"), DRAWS)
+def test_service_is_called_within_the_limit_after_an_outage(
+    seed: int, outage: str, gateway_count: int
+) -> None:
+    """Guards against a backoff beyond the limit (review/3), and calls that a dead service delays."""
+
+    async def main(loop: VirtualTimeLoop) -> None:
+        random = Random(seed)
+        with polled_fleet(loop, gateway_count, seed) as fleet:
+            fleet.service.service_time_s = min(FLEET_SERVICE_TIME_S / gateway_count, MAX_SERVICE_TIME_S)
+            await settle(fleet, random)
+            fleet.service.die()
+            fleet.service.end_watches(None)
+            if outage != "dead":
+                fleet.service.come_back()
+                setattr(fleet.service, outage, True)
+            await asyncio.sleep(random.uniform(1.0, 60.0))
+            fleet.service.come_back()
+            returned_at_s = loop.time()
+            fleet.service.publish()
+            await asyncio.sleep(SETTLED_AFTER_S)
+            assert fleet.last_notified_at_s() <= returned_at_s + CHANGE_LIMIT_S - MAX_HOLD_UP_S
+
+    run_in_virtual_time(main)
+
+
 @pytest.mark.parametrize("gateway_count", FLEET_SIZES)
 def test_fleet_that_starts_is_notified_within_the_limit_and_spreads_its_calls(gateway_count: int) -> None:
     """Guards against simultaneous calls of all gateways, which overload the discovery service."""
@@ -181,6 +208,28 @@
     run_in_virtual_time(main)
 
 
+@pytest.mark.parametrize("gateway_count", [30, 230])
+@pytest.mark.parametrize("fleet_service_time_s", [4.0, 8.0])
+def test_crowd_that_is_rejected_drains(fleet_service_time_s: float, gateway_count: int) -> None:
+    """A service that is too slow for the limit answers all gateways, and is kept busy until then.
+
+    Three times the time for one call of each gateway leaves room for rejected calls.
+    """
+
+    async def main(loop: VirtualTimeLoop) -> None:
+        with polled_fleet(loop, gateway_count, seed=1) as fleet:
+            await settle(fleet, Random(1))
+            fleet.service.service_time_s = fleet_service_time_s / gateway_count
+            fleet.service.max_wait_s = 0.5
+            fleet.service.end_watches(None)
+            fleet.service.revision += 1
+            ended_at_s = loop.time()
+            await asyncio.sleep(2 * SETTLED_AFTER_S)
+            assert fleet.last_notified_at_s() <= ended_at_s + 3 * fleet_service_time_s
+
+    run_in_virtual_time(main)
+
+
 def test_older_list_does_not_replace_a_newer_one() -> None:
     """The answer to an earlier call arrives after the answer to a later one."""
 
