--- a/http_gateway/net/discovery/poll_schedule.py
+++ b/http_gateway/net/discovery/poll_schedule.py
@@ -204,7 +204,8 @@
             limit_at_s = min(limit_at_s, self._limit_at_s)
         self._limit_at_s = limit_at_s
         due_at_s = now_s + self._draw_position() * self._spread_s(limit_at_s - now_s)
-        self.due_at_s = min(due_at_s, self.due_at_s) if is_waiting else due_at_s
+        is_scheduled = is_waiting and self.due_at_s > now_s
+        self.due_at_s = min(due_at_s, self.due_at_s) if is_scheduled else due_at_s
 
     def _draw_position(self) -> float:
         """Return this gateway's position in the spread of the fleet, from 0 to 1."""
--- a/http_gateway/net/discovery/session.py
+++ b/http_gateway/net/discovery/session.py
@@ -247,7 +247,7 @@
         if not await self._connect(watch):
             return
         try:
-            if not await watch.answered:
+            if not await watch.answered and self._active_watch is None:
                 log.info('discovery watch ended reason="%s"', await watch.ended)
         finally:
             if self._active_watch is not watch:
--- a/tests/unit/test_poll_schedule.py
+++ b/tests/unit/test_poll_schedule.py
@@ -126,6 +126,16 @@
         assert schedule.due_at_s <= due_at_s
 
 
+def test_watch_without_a_list_is_replaced_within_the_spread() -> None:
+    """Guards against gateways that call at once when a watch ends that has only brought empty lines."""
+    for gateway_index in range(40):
+        schedule = PollSchedule(polled_settings(40, gateway_index), Random())
+        schedule.on_start(0.0)
+        schedule.on_call_started(schedule.due_at_s)
+        schedule.on_watch_ended(60.0, last_line_at_s=60.0)
+        assert schedule.due_at_s >= 60.0 + gateway_index * GATEWAY_SPACING_S
+
+
 def test_calls_to_a_local_agent_are_not_spread_until_one_is_rejected() -> None:
     schedule = PollSchedule(PUSHED_SETTINGS, Random())
     schedule.on_start(1.0)
