Count only a complete response head of discovery as the beginning of an answer

Seen by reading: each piece of an incomplete response head put the next discovery call off by the idle timeout, so that a service that stops within the head, or sends it without end, delayed the call that another one would answer.

Change: the delay begins with the complete head.

Measured: test_incomplete_head_does_not_delay_the_next_call failed before the change (no list within 30 s) and passes now, as do the tests of the limits, discovery, reload and large lists.

--- a/http_gateway/net/discovery/watch.py
+++ b/http_gateway/net/discovery/watch.py
@@ -111,7 +111,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.end(_describe(error))
         # The timeout is not restarted while a document is incomplete: the rest must arrive before it expires.
-        if not self._documents.has_partial_document:
+        if self.answered.done() and not self._documents.has_partial_document:
             self._on_line_complete()
 
     def pause_reading(self) -> None:
@@ -141,6 +141,8 @@
         if status != HTTPStatus.OK:
             self._listener.on_rejected(self._loop.time() - self._requested_at_s)
             raise WatchRejectedError(status)
+        self._has_responded = True
+        self.last_line_at_s = self._loop.time()
 
     def on_body(self, data: bytes) -> None:
         """Pass complete documents to the listener; called by the parser.
@@ -185,9 +187,8 @@
             self.end("another watch is active")
 
     def _on_line_complete(self) -> None:
-        self._has_responded = True
         self.last_line_at_s = self._loop.time()
-        if self.answered.done() and not self._is_paused and not self.ended.done():
+        if not self._is_paused and not self.ended.done():
             self._restart_timeout()
 
     def _restart_timeout(self) -> None:
--- a/tests/integration/test_discovery_client.py
+++ b/tests/integration/test_discovery_client.py
@@ -154,6 +154,23 @@
         assert len(service.requests) > session.MAX_CONCURRENT_CALLS
 
 
+@async_test
+async def test_incomplete_head_does_not_delay_the_next_call() -> None:
+    """Guards against a response head in small pieces that counts as a list that is arriving."""
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        if len(service.requests) > 1:
+            await send(writer, WATCH_HEAD + chunk(list_document(42)))
+            return
+        writer.write(WATCH_HEAD[:-4])
+        while not writer.is_closing():
+            await send(writer, b"\r\nX-Field: 1")
+            await asyncio.sleep(0.5)
+
+    async with start_peers(script) as (service,), received_lists(service, 41, PUSHED_SETTINGS) as lists:
+        await wait_until(lambda: lists)
+
+
 @async_test
 async def test_only_the_first_of_two_accepted_watches_is_used() -> None:
     """Two calls are accepted in the same iteration of the event loop, one of them with an older list."""
