--- a/http_gateway/net/discovery/poll_schedule.py
+++ b/http_gateway/net/discovery/poll_schedule.py
@@ -17,9 +17,9 @@
 - after a watch fell silent or ended: `CHANGE_LIMIT_S` after its last line. The connection may have lost
   everything that the service sent after that line.
 
-The answer time A is the time from the start of a call until its list is applied. The schedule takes the latest
-one that was measured, and at least `MIN_ANSWER_TIME_S`. With the longest hold-up of the process H, N gateways,
-the spacing S and the time T that is left until the limit, a gateway makes the first call within
+The answer time A is the time from the start of a call until its list is applied. The schedule takes the
+latest one that was measured, and at least `MIN_ANSWER_TIME_S`. With the longest hold-up of the process H, N
+gateways, the spacing S and the time T that is left until the limit, a gateway makes the first call within
 
     spread = min(N * S, max(T - A - H, MIN_SPREAD_S))
 
