--- a/tests/scale/discovery_calls.py
+++ b/tests/scale/discovery_calls.py
@@ -10,7 +10,12 @@
 import sys
 from collections.abc import Callable
 
-from tests.support.discovery_fleet import DiscoveryFleet, VirtualDiscovery, polled_fleet
+from tests.support.discovery_fleet import (
+    DiscoveryFleet,
+    VirtualDiscovery,
+    most_calls_per_s,
+    polled_fleet,
+)
 from tests.support.virtual_time import VirtualTimeLoop, run_in_virtual_time
 
 FLEET_SERVICE_TIME_S = 3.8
@@ -20,11 +25,6 @@
 SEED = 1
 
 
-def most_calls_per_s(times_s: list[float]) -> int:
-    """Return the largest number of calls within one second."""
-    return max((sum(start <= at_s < start + 1.0 for at_s in times_s) for start in times_s), default=0)
-
-
 def calm(loop: VirtualTimeLoop, fleet: DiscoveryFleet) -> None:
     """Change nothing."""
 
--- a/tests/support/discovery_fleet.py
+++ b/tests/support/discovery_fleet.py
@@ -191,6 +191,11 @@
         return max(gateway.notified_at_s(self.service.revision) for gateway in self.gateways)
 
 
+def most_calls_per_s(times_s: list[float]) -> int:
+    """Return the largest number of calls within one second."""
+    return max((sum(start <= at_s < start + 1.0 for at_s in times_s) for start in times_s), default=0)
+
+
 @contextmanager
 def polled_fleet(loop: VirtualTimeLoop, gateway_count: int, seed: int) -> Iterator[DiscoveryFleet]:
     """Run gateways that share a polled discovery service; yields the fleet.
--- a/tests/support/virtual_time.py
+++ b/tests/support/virtual_time.py
@@ -10,6 +10,7 @@
 from http_gateway.net.http.shared_buffer import SharedBufferProtocol
 
 Address = tuple[str, int]
+START_AT_S = 1000.0  # on the virtual clock
 Result = TypeVar("Result")
 
 
@@ -83,7 +84,7 @@
 class _VirtualSelector(selectors.SelectSelector):
     """A selector that advances the clock instead of waiting."""
 
-    now_s = 1000.0
+    now_s = START_AT_S
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         """Return the events that are there, and advance the clock by the timeout if there are none."""
--- a/tests/unit/net/test_discovery_limits.py
+++ b/tests/unit/net/test_discovery_limits.py
@@ -12,8 +12,13 @@
 
 import pytest
 
-from tests.support.discovery_fleet import DiscoveryFleet, VirtualDiscovery, polled_fleet
-from tests.support.virtual_time import VirtualTimeLoop, run_in_virtual_time
+from tests.support.discovery_fleet import (
+    DiscoveryFleet,
+    VirtualDiscovery,
+    most_calls_per_s,
+    polled_fleet,
+)
+from tests.support.virtual_time import START_AT_S, VirtualTimeLoop, run_in_virtual_time
 
 RELOAD_LIMIT_S = 4.0
 CHANGE_LIMIT_S = 6.0
@@ -33,7 +38,7 @@
     """Start a fleet, and let it watch until a drawn moment."""
     fleet.start()
     await asyncio.sleep(SETTLED_AFTER_S + random.uniform(0.0, 10.0))
-    assert fleet.last_notified_at_s() < 1000.0 + SETTLED_AFTER_S
+    assert fleet.last_notified_at_s() < START_AT_S + SETTLED_AFTER_S
 
 
 async def change_list(fleet: DiscoveryFleet, random: Random) -> float:
@@ -103,7 +108,8 @@
             fleet.start()
             await asyncio.sleep(answer_delay_s + CHANGE_LIMIT_S)
             assert (
-                fleet.last_notified_at_s() <= 1000.0 + answer_delay_s + CHANGE_LIMIT_S - MAX_HOLD_UP_S - 1.0
+                fleet.last_notified_at_s()
+                <= START_AT_S + answer_delay_s + CHANGE_LIMIT_S - MAX_HOLD_UP_S - 1.0
             )
 
     run_in_virtual_time(main)
@@ -118,7 +124,7 @@
             fleet.service.first_line_delay_s = first_line_delay_s
             fleet.start()
             await asyncio.sleep(SETTLED_AFTER_S)
-            assert fleet.last_notified_at_s() <= 1000.0 + CHANGE_LIMIT_S - MAX_HOLD_UP_S
+            assert fleet.last_notified_at_s() <= START_AT_S + CHANGE_LIMIT_S - MAX_HOLD_UP_S
 
     run_in_virtual_time(main)
 
@@ -199,11 +205,11 @@
             fleet.service.service_time_s = min(FLEET_SERVICE_TIME_S / gateway_count, MAX_SERVICE_TIME_S)
             fleet.start()
             await asyncio.sleep(SETTLED_AFTER_S)
-            assert fleet.last_notified_at_s() <= 1000.0 + CHANGE_LIMIT_S - MAX_HOLD_UP_S
+            assert fleet.last_notified_at_s() <= START_AT_S + CHANGE_LIMIT_S - MAX_HOLD_UP_S
             times_s = sorted(fleet.service.call_times_s)
             assert len(times_s) == gateway_count
-            assert calls_per_second(times_s) <= max(11, gateway_count / 4)
-            assert max(after - before for before, after in pairwise([1000.0, *times_s])) < 0.25
+            assert most_calls_per_s(times_s) <= max(11, gateway_count / 4)
+            assert max(after - before for before, after in pairwise([START_AT_S, *times_s])) < 0.25
 
     run_in_virtual_time(main)
 
@@ -268,19 +274,18 @@
 def test_stepped_wall_clock_does_not_move_a_call(step_s: float, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a wait that is computed from the wall clock."""
 
-    async def main(loop: VirtualTimeLoop) -> None:
-        with polled_fleet(loop, 3, seed=1) as fleet:
-            await settle(fleet, Random(1))
-            monkeypatch.setattr("time.time", lambda: loop.time() + step_s)
-            fleet.service.end_watches(None)
-            fleet.service.revision += 1
-            ended_at_s = loop.time()
-            await asyncio.sleep(SETTLED_AFTER_S)
-            assert fleet.last_notified_at_s() <= ended_at_s + 1.0
-
-    run_in_virtual_time(main)
+    def notified_after_s(wall_clock_step_s: float) -> float:
+        async def main(loop: VirtualTimeLoop) -> float:
+            with polled_fleet(loop, 3, seed=1) as fleet:
+                await settle(fleet, Random(1))
+                monkeypatch.setattr("time.time", lambda: loop.time() + wall_clock_step_s)
+                fleet.service.end_watches(None)
+                fleet.service.revision += 1
+                ended_at_s = loop.time()
+                await asyncio.sleep(SETTLED_AFTER_S)
+                assert fleet.last_notified_at_s() <= ended_at_s + 1.0
+                return fleet.last_notified_at_s() - ended_at_s
 
+        return run_in_virtual_time(main)
 
-def calls_per_second(times_s: list[float]) -> int:
-    """Return the largest number of calls within one second."""
-    return max(sum(start <= at_s < start + 1.0 for at_s in times_s) for start in times_s)
+    assert notified_after_s(step_s) == notified_after_s(0.0)
